--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -26,6 +25,7 @@
   startBackendServer,
 } from "../standin/backend_server.ts";
 import { createSystemTimer, sleep } from "../time/timer.ts";
+import { freePorts } from "./ports.ts";
 import { type DemoSite, demoSite } from "./sites.ts";
 
 /** What a demo did, in numbers. */
@@ -55,28 +55,6 @@
 const COLD_REQUESTS = 30;
 const EXAMPLES = "../../../examples";
 
-/** Finds free ports by binding them for a moment. */
-async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer();
-          server.listen(0, HOST, () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => {
-    const bound = server.address();
-    return typeof bound === "object" && bound ? bound.port : 0;
-  });
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return ports;
-}
-
 function exampleSite(name: string): Site {
   const folder = join(dirname(fileURLToPath(import.meta.url)), EXAMPLES);
   const loaded = loadSite(
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -33,6 +33,7 @@
 
 const FIRST_SERVER_ERROR = 500;
 const MIN_HEDGE_DELAY_MS = 2;
+const MEDIAN = 0.5;
 
 /** Turns an answer into the reply to the caller. */
 export function replyOf(
@@ -180,13 +181,18 @@
 
   function hedgeDelay(routed: RoutedCall): number | undefined {
     const { settings } = routed;
-    const quantile = directory.global?.limits.retry.hedge_quantile;
-    const delay = settings.hedge && quantile !== undefined
-      ? metrics.quantile(settings.class, quantile)
-      : undefined;
-    return delay === undefined
-      ? undefined
-      : Math.max(MIN_HEDGE_DELAY_MS, delay);
+    const limits = directory.global?.limits.retry;
+    if (!settings.hedge || !limits) {
+      return undefined;
+    }
+    const tail = metrics.quantile(settings.class, limits.hedge_quantile);
+    const median = metrics.quantile(settings.class, MEDIAN);
+    if (tail === undefined || median === undefined) {
+      return undefined;
+    }
+    // In noisy times the tail itself is slow, but the median is not.
+    const delay = Math.min(tail, median * limits.hedge_median_factor);
+    return Math.max(MIN_HEDGE_DELAY_MS, delay);
   }
 
   /** Closes the answer of an attempt that lost against another. */
--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -29,6 +29,8 @@
     .describe("Hedged attempts per request"),
   hedge_quantile: ratio.default(0.99)
     .describe("Latency quantile of the class after which a hedge is sent"),
+  hedge_median_factor: z.number().min(1).default(3)
+    .describe("Multiple of the median after which a hedge is sent, if sooner"),
 });
 
 /** How long a process waits for its peers. */
--- a/tests/processes.ts
+++ b/tests/processes.ts
@@ -5,11 +5,11 @@
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
+import { freePorts } from "../src/demo/ports.ts";
 
 const HOST = "127.0.0.1";
 const HERE = dirname(fileURLToPath(import.meta.url));
@@ -55,18 +55,6 @@
   throw new Error(`never came true: ${what}`);
 }
 
-/** Returns a free port. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, HOST, () => {
-      const bound = server.address();
-      const port = typeof bound === "object" && bound ? bound.port : 0;
-      server.close(() => resolve(port));
-    });
-  });
-}
-
 function start(script: string, args: string[]): Running {
   const child = spawn(process.execPath, [script, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
@@ -134,8 +122,8 @@
   const started: Running[] = [];
   const tokenFile = join(folder, "tokens");
   writeFileSync(tokenFile, `tester ${TOKEN}\nclerk clerk-token records\n`);
-  const rpc = await Promise.all([1, 2, 3].map(() => freePort()));
-  const admin = await Promise.all([1, 2, 3].map(() => freePort()));
+  const rpc = await freePorts(3);
+  const admin = await freePorts(3);
   const founders = rpc.map((port, index) =>
     `control${index + 1} = "${HOST}:${port}"`
   ).join("\n");
@@ -173,9 +161,7 @@
     domain: string,
   ): Promise<NodeOfFleet> {
     const vm = `vm${index + 1}`;
-    const [peer, local, caller, backend] = await Promise.all(
-      [1, 2, 3, 4].map(() => freePort()),
-    );
+    const [peer, local, caller, backend] = await freePorts(4);
     const file = settingsFile(
       vm,
       `vm = "${vm}"
--- a/tests/scenario/runner.ts
+++ b/tests/scenario/runner.ts
@@ -130,7 +130,11 @@
     world.vms.forEach((vm) => vm.server.poison = text);
   },
   kill_node: (world, name) => world.killNode(name),
-  start_node: (world, name) => void world.startNode(name),
+  start_node(world, name) {
+    if (!world.vm(name).alive) {
+      void world.startNode(name);
+    }
+  },
   stop_node(world, name) {
     const vm = world.vm(name);
     vm.announcing = false;
@@ -145,7 +149,11 @@
     }
   },
   kill_control: (world, name) => world.cluster.kill(name),
-  start_control: (world, name) => void world.cluster.start(name),
+  start_control(world, name) {
+    if (!world.cluster.vm(name).alive) {
+      void world.cluster.start(name);
+    }
+  },
   lose_disk: (world, name) => world.cluster.vm(name).disk.wipe(),
   cut: (world, hosts) => setCut(world, hosts, true),
   heal: (world, hosts) => setCut(world, hosts, false),
--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -44,6 +44,7 @@
 /** What became of one call. */
 export interface CallRecord {
   name: string;
+  via: string;
   requestId: string;
   key: string;
   tenant: string;
@@ -235,6 +236,7 @@
       const requestId = `r${calls.length + 1}`;
       const record: CallRecord = {
         name: order.name ?? requestId,
+        via,
         requestId,
         key: key ?? "",
         tenant: tenant ?? "",
