--- a/src/control/node_methods.ts
+++ b/src/control/node_methods.ts
@@ -45,6 +45,7 @@
     node: z.string(),
     known: z.object({
       global: z.number(),
+      routes: z.number(),
       services: z.record(z.string(), z.number()),
     }),
     confirm: z.boolean(),
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -20,7 +20,7 @@
 } from "./commands.ts";
 import { differencesBetween } from "./differences.ts";
 import type { AppliedEntry, Machine } from "./machine.ts";
-import type { GlobalView, ServiceView, View } from "./view.ts";
+import type { GlobalView, RouteTable, ServiceView, View } from "./view.ts";
 
 /** Results of changes that are kept for resends with the same change id. */
 export const MAX_CHANGE_RESULTS = 10_000;
@@ -41,6 +41,7 @@
   revision: number;
   logTime: number;
   globalRevision: number;
+  routesRevision: number;
   site?: Site;
   domainsOut: string[];
   serversOut: string[];
@@ -55,6 +56,8 @@
 export interface KnownRevisions {
   /** Revision of the global part, 0 for none. */
   global: number;
+  /** Revision of the route table, 0 for none. */
+  routes: number;
   /** Revision of each subscribed service, 0 for none. */
   services: Record<string, number>;
 }
@@ -93,6 +96,7 @@
     revision: 0,
     logTime: 0,
     globalRevision: 0,
+    routesRevision: 0,
     domainsOut: [],
     serversOut: [],
     members: [],
@@ -116,6 +120,18 @@
   }
 }
 
+/** Returns the routes of all services of a site. */
+function routesOf(site: Site): RouteTable["routes"] {
+  return Object.entries(site.services).flatMap(([service, settings]) =>
+    Object.entries(settings.routes).map(([name, route]) => ({
+      service,
+      name,
+      method: route.method,
+      path: route.path,
+    }))
+  );
+}
+
 /** Drops the oldest keys of a map down to a bound. */
 function trim<K, V>(map: Map<K, V>, bound: number): void {
   for (const key of map.keys()) {
@@ -249,6 +265,10 @@
         serviceRevisions.set(name, index);
       }
     }
+    const routesBefore = stored.site ? routesOf(stored.site) : [];
+    if (differencesBetween(routesBefore, routesOf(site)).length > 0) {
+      stored.routesRevision = index;
+    }
     stored.site = site;
     return differences;
   }
@@ -401,17 +421,6 @@
     }
   }
 
-  function routesOf(site: Site): GlobalView["routes"] {
-    return Object.entries(site.services).flatMap(([service, settings]) =>
-      Object.entries(settings.routes).map(([name, route]) => ({
-        service,
-        name,
-        method: route.method,
-        path: route.path,
-      }))
-    );
-  }
-
   function globalView(site: Site): GlobalView {
     const { services: _services, ...limits } = site;
     return {
@@ -420,7 +429,6 @@
       limits,
       domainsOut: [...domainsOut].sort(),
       serversOut: [...serversOut].sort(),
-      routes: routesOf(site),
     };
   }
 
@@ -464,6 +472,12 @@
       if (site && stored.globalRevision > known.global) {
         view.global = globalView(site);
       }
+      if (site && stored.routesRevision > known.routes) {
+        view.routeTable = {
+          revision: stored.routesRevision,
+          routes: routesOf(site),
+        };
+      }
       for (const [service, revision] of Object.entries(known.services)) {
         if ((serviceRevisions.get(service) ?? 0) > revision) {
           view.services.push(serviceView(service));
--- a/src/control/view.ts
+++ b/src/control/view.ts
@@ -16,6 +16,13 @@
   limits: limitsSchema,
   domainsOut: z.array(z.string()),
   serversOut: z.array(z.string()),
+});
+/** The part of the view that every node holds. */
+export type GlobalView = z.infer<typeof globalViewSchema>;
+
+/** The routes of all services, which change more rarely than the rest. */
+export const routeTableSchema = z.object({
+  revision: z.number(),
   routes: z.array(z.object({
     service: z.string(),
     name: z.string(),
@@ -23,8 +30,8 @@
     path: z.string(),
   })),
 });
-/** The part of the view that every node holds. */
-export type GlobalView = z.infer<typeof globalViewSchema>;
+/** The routes of all services, which change more rarely than the rest. */
+export type RouteTable = z.infer<typeof routeTableSchema>;
 
 /** The part of the view that subscribers to one service hold. */
 export const serviceViewSchema = z.object({
@@ -39,6 +46,7 @@
 /** Several parts of a view, as one message. */
 export const viewSchema = z.object({
   global: globalViewSchema.optional(),
+  routeTable: routeTableSchema.optional(),
   services: z.array(serviceViewSchema),
 });
 /** Several parts of a view, as one message. */
--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -4,8 +4,14 @@
  * @module
  */
 import findMyWay from "find-my-way";
+import type { KnownRevisions } from "../control/state.ts";
 import type { Member } from "../control/commands.ts";
-import type { GlobalView, ServiceView, View } from "../control/view.ts";
+import type {
+  GlobalView,
+  RouteTable,
+  ServiceView,
+  View,
+} from "../control/view.ts";
 import type { Route, Service } from "../settings/site.ts";
 
 /** A route that a request takes. */
@@ -28,8 +34,8 @@
   readonly version: number;
   /** The global part, once known. */
   readonly global: GlobalView | undefined;
-  /** Services that the node subscribes to, with the revision it holds. */
-  readonly known: { global: number; services: Record<string, number> };
+  /** Revisions that the node holds of what it subscribes to. */
+  readonly known: KnownRevisions;
   /** Adds a subscription. */
   subscribe(service: string): void;
   /** Takes newer parts over and ignores the others. */
@@ -56,9 +62,9 @@
 
 type Router = ReturnType<typeof findMyWay>;
 
-function createRouter(global: GlobalView): Router {
+function createRouter(table: RouteTable): Router {
   const router = findMyWay({ ignoreTrailingSlash: true });
-  for (const { service, name, method, path } of global.routes) {
+  for (const { service, name, method, path } of table.routes) {
     const found: FoundRoute = { service, name };
     router.on(method as "GET", path, () => {}, found);
   }
@@ -68,6 +74,7 @@
 /** Creates a directory that knows nothing yet. */
 export function createDirectory(): Directory {
   let global: GlobalView | undefined;
+  let routeTable: RouteTable | undefined;
   let router: Router | undefined;
   let domainsOut = new Set<string>();
   let serversOut = new Set<string>();
@@ -80,12 +87,20 @@
       return false;
     }
     global = next;
-    router = createRouter(next);
     domainsOut = new Set(next.domainsOut);
     serversOut = new Set(next.serversOut);
     return true;
   }
 
+  function applyRoutes(next: RouteTable | undefined): boolean {
+    if (!next || next.revision <= (routeTable?.revision ?? 0)) {
+      return false;
+    }
+    routeTable = next;
+    router = createRouter(next);
+    return true;
+  }
+
   function applyService(next: ServiceView): boolean {
     const current = services.get(next.service)?.revision ?? 0;
     if (!subscriptions.has(next.service) || next.revision <= current) {
@@ -105,6 +120,7 @@
     get known() {
       return {
         global: global?.revision ?? 0,
+        routes: routeTable?.revision ?? 0,
         services: Object.fromEntries(
           [...subscriptions].map((name) => [
             name,
@@ -115,8 +131,9 @@
     },
     subscribe: (service) => subscriptions.add(service),
     apply(view) {
+      const routes = applyRoutes(view.routeTable);
       const change: DirectoryChange = {
-        global: applyGlobal(view.global),
+        global: applyGlobal(view.global) || routes,
         services: view.services.filter(applyService)
           .map((service) => service.service),
       };
@@ -127,6 +144,7 @@
     },
     export: (names) => ({
       global,
+      routeTable,
       services: names.flatMap((name) => services.get(name) ?? []),
     }),
     service: (name) => services.get(name),
