--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -386,13 +386,60 @@
       );
     }
     say(`ms of processor time for each sync: ${fit(points)}`);
+    const reply = await rpc.call({
+      peer: fleet.addresses[0],
+      method: syncMethod,
+      request: syncRequest(1),
+      timeoutMs: CALL_MS,
+    });
     const request = packr.pack(syncRequest(1)).length;
-    say(`a sync request is ${request} B, its usual reply about 120 B`);
+    const answer = packr.pack(reply.isOk() ? reply.value : null).length;
+    say(`a sync request is ${request} B, a reply without news ${answer} B`);
   } finally {
     fleet.end();
   }
 }
 
+/** Processor time and memory of a node that serves nobody. */
+async function measureIdleNode(): Promise<void> {
+  say("\n## A node without calls (one control process, one node process)");
+  const fleet = await startControls(1);
+  const folder = mkdtempSync(join(tmpdir(), "mustardcross-node-"));
+  const [caller, peer, local] = await freePorts(3);
+  const file = join(folder, "node.toml");
+  writeFileSync(
+    file,
+    `vm = "vm1"\ndomain = "race-course"\n` +
+      `control_addresses = ${JSON.stringify(fleet.addresses)}\n[node]\n` +
+      `caller_address = "${HOST}:${caller}"\n` +
+      `peer_address = "${HOST}:${peer}"\n` +
+      `local_address = "${HOST}:${local}"\n`,
+  );
+  const node = spawn(process.execPath, [MAIN, "node", "--settings", file], {
+    stdio: "ignore",
+  });
+  const pid = node.pid ?? 0;
+  const wait = (ms: number): Promise<void> =>
+    new Promise((resolve) => setTimeout(resolve, ms));
+  try {
+    await wait(4_000);
+    for (let round = 0; round < 3; round++) {
+      const before = processorMs(pid);
+      await wait(5_000);
+      const spent = (processorMs(pid) - before) / 5;
+      say(
+        `${spent.toFixed(1)} ms processor/s, ${
+          residentMiB(pid).toFixed(0)
+        } MiB`,
+      );
+    }
+  } finally {
+    node.kill("SIGKILL");
+    fleet.end();
+    rmSync(folder, { recursive: true, force: true });
+  }
+}
+
 /** Processor time of leader and followers for entries of the log. */
 async function measureEntries(rpc: Rpc): Promise<void> {
   say("\n## Entries of the log (three control processes)");
@@ -467,6 +514,7 @@
 measureState();
 measureDirectory();
 const rpc = createGrpcRpc();
+await measureIdleNode();
 await measureSyncs(rpc);
 await measureEntries(rpc);
 await rpc.close();
--- a/src/http/caller_front.ts
+++ b/src/http/caller_front.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { once } from "node:events";
 import {
   ATTEMPTS_HEADER,
   endToEnd,
@@ -15,7 +14,7 @@
   SERVER_HEADER,
 } from "../core/headers.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
-import { errorFields } from "../core/errors.ts";
+import { errorFields, StepError } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { Call, Reply } from "../ingress/call.ts";
@@ -27,6 +26,7 @@
 /** Path at which a node says whether it takes calls. */
 export const HEALTH_PATH = "/_mustardcross/health";
 const MAX_REASON_LENGTH = 200;
+const MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
 const BODILESS_STATUSES = new Set([204, 304]);
 
 /** The HTTP front of a node. */
@@ -62,6 +62,19 @@
   return text.replace(/[^\x20-\x7e]/g, " ").slice(0, MAX_REASON_LENGTH);
 }
 
+/** Resolves once a response takes more, or is closed. */
+function drained(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    function settle(): void {
+      response.off("drain", settle);
+      response.off("close", settle);
+      resolve();
+    }
+    response.on("drain", settle);
+    response.on("close", settle);
+  });
+}
+
 /** Creates the HTTP front of a node. */
 export function createCallerFront(options: CallerFrontOptions): CallerFront {
   const { node, timer, random, logger } = options;
@@ -130,7 +143,7 @@
         return;
       }
       if (!response.write(bytes)) {
-        await Promise.race([once(response, "drain"), once(response, "close")]);
+        await drained(response);
       }
     }
     response.end();
@@ -157,6 +170,23 @@
     } else {
       await writeStream(response, reply.body);
     }
+    if (!request.complete && !(call.body instanceof Uint8Array)) {
+      await discard(call.body);
+    }
+  }
+
+  /**
+   * Reads on what an early answer left unread: the caller would wait for ever
+   * to send it, and its next request behind it.
+   */
+  async function discard(rest: AsyncIterable<Uint8Array>): Promise<void> {
+    let size = 0;
+    for await (const part of rest) {
+      size += part.length;
+      if (size > MAX_DISCARDED_BYTES) {
+        throw new StepError("caller.discard", "the rest of a body is too long");
+      }
+    }
   }
 
   function health(response: ServerResponse): void {
--- /dev/null
+++ b/src/settings/load_test.ts
@@ -0,0 +1,102 @@
+import { test } from "tap";
+import { checkSite, parseSource } from "./load.ts";
+import { formatMistake } from "./mistakes.ts";
+import type { Source } from "./merge.ts";
+import { processSchema } from "./process.ts";
+
+const BASE = `
+name = "base"
+domains = ["a", "b"]
+[services.work]
+team = "work"
+slots = 12
+[services.work.routes.look]
+path = "/look"
+class = "look"
+repeatable = true
+`;
+
+function source(file: string, text: string): Source {
+  return parseSource(file, text)._unsafeUnwrap();
+}
+
+function mistakesOf(overlay: string): string[] {
+  const checked = checkSite(
+    source("base.toml", BASE),
+    source("site.toml", overlay),
+  );
+  return checked.isErr() ? checked.error.map(formatMistake) : [];
+}
+
+test("an overlay states only what differs, and each value has its origin", (t) => {
+  const { site, origins } = checkSite(
+    source("base.toml", BASE),
+    source("site.toml", 'name = "site"\n[services.work]\nslots = 20\n'),
+  )._unsafeUnwrap();
+  t.equal(site.services.work.slots, 20);
+  t.equal(site.services.work.routes.look.path, "/look");
+  t.equal(origins.get("services.work.slots"), "site.toml");
+  t.equal(origins.get("services.work.team"), "base.toml");
+  t.equal(origins.get("services.work.queue_limit"), "default");
+  t.end();
+});
+
+test("an overlay drops nothing silently", (t) => {
+  t.match(mistakesOf('domains = ["a"]'), [
+    'site.toml: domains: found a list without ["b"]',
+  ]);
+  t.same(mistakesOf('replace = ["domains"]\ndomains = ["c"]'), []);
+  t.match(mistakesOf('services = "none"'), [
+    /expected a table, as in the base/,
+  ]);
+  t.same(mistakesOf('remove = ["services.work"]'), []);
+  t.match(mistakesOf('remove = ["services.other"]'), [
+    /services.other: found no such key/,
+  ]);
+  t.end();
+});
+
+test("all mistakes are reported at once, with the nearest known key", (t) => {
+  const found = mistakesOf(
+    "[services.work]\nslotz = 1\ncold_limit = 0\n[retry]\nbudget_ratio = 2\n",
+  );
+  t.match(found.find((one) => one.includes("slotz")), /expected "slots"/);
+  t.match(found.find((one) => one.includes("cold_limit")), /found 0/);
+  t.match(found.find((one) => one.includes("budget_ratio")), /at most 1/);
+  t.end();
+});
+
+test("routes that contradict are mistakes", (t) => {
+  const route = (name: string, more: string): string =>
+    `[services.work.routes.${name}]\npath = "/x"\nclass = "x"\n${more}\n`;
+  t.match(mistakesOf(route("one", "repeatable = false\nhedge = true")), [
+    /hedge: found true, expected false, since the route is not repeatable/,
+  ]);
+  t.match(
+    mistakesOf(
+      route("one", "repeatable = true") + route("two", "repeatable = true"),
+    ),
+    [/"GET \/x", which services.work.routes.one has too/],
+  );
+  t.end();
+});
+
+test("a process's addresses are IP numbers with ports", (t) => {
+  const parse = (address: string): boolean =>
+    processSchema.safeParse({
+      vm: "v",
+      domain: "d",
+      control_addresses: [address],
+      node: {
+        caller_address: address,
+        peer_address: address,
+        local_address: address,
+      },
+    }).success;
+  t.ok(parse("10.0.0.1:7000"));
+  t.ok(parse("[::1]:7000"));
+  t.notOk(parse("localhost:7000"));
+  t.notOk(parse("10.0.0.1"));
+  t.notOk(parse("10.0.0.1:70000"));
+  t.end();
+});
