Let the age of load reports follow its setting; settings reference; unit tests

Cause: found while reading the settings reference made from the schemas: the chooser read load_stale_after_ms before the first view had come, so the setting never had an effect.

--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -175,7 +175,7 @@
     hints: createHints(timer),
     policy: allKnowing
       ? undefined
-      : createPolicy(policyName, { staleAfterMs: STALE_AFTER_MS }),
+      : createPolicy(policyName, { staleAfterMs: () => STALE_AFTER_MS }),
     domain: `d${index % 3}`,
     hedgeTokens: 5,
   }));
--- a/src/choosing/expected_wait.ts
+++ b/src/choosing/expected_wait.ts
@@ -32,7 +32,7 @@
 const EQUAL_SHARE = 1.02;
 
 class ExpectedWaitPolicy implements Policy {
-  constructor(private readonly staleAfterMs: number) {}
+  constructor(private readonly staleAfterMs: () => number) {}
 
   choose(candidates: readonly Candidate[], random: Random): Candidate {
     const compared = sample(candidates, random);
@@ -47,7 +47,7 @@
   private score(candidate: Candidate, usualMs: number): number {
     const { own, reported, queued, ownAtReport, ageMs } = candidate;
     const weight = Number.isFinite(ageMs)
-      ? 1 / (1 + ageMs / this.staleAfterMs)
+      ? 1 / (1 + ageMs / this.staleAfterMs())
       : 0;
     const others = Math.max(0, reported + queued - ownAtReport) * weight;
     const busy = own + others * REPORT_WEIGHT;
--- a/src/choosing/policy.ts
+++ b/src/choosing/policy.ts
@@ -35,7 +35,13 @@
   choose(candidates: readonly Candidate[], random: Random): Candidate;
 }
 
-type PolicyFactory = (options: { staleAfterMs: number }) => Policy;
+/** What a policy may depend on; read at each choice, since it may change. */
+export interface PolicyOptions {
+  /** Age at which a load report counts half, in milliseconds. */
+  staleAfterMs: () => number;
+}
+
+type PolicyFactory = (options: PolicyOptions) => Policy;
 
 const policies = new Map<string, PolicyFactory>();
 
@@ -50,10 +56,7 @@
 }
 
 /** Creates a policy by its name. */
-export function createPolicy(
-  name: string,
-  options: { staleAfterMs: number },
-): Policy {
+export function createPolicy(name: string, options: PolicyOptions): Policy {
   const factory = policies.get(name);
   if (!factory) {
     throw new Error(`unknown policy ${name}`);
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -12,6 +12,7 @@
 import { errorMessage } from "../core/errors.ts";
 import { startProcess } from "../process.ts";
 import { loadProcess, loadSite } from "../settings/load.ts";
+import { settingsReference } from "../settings/reference.ts";
 import {
   AdminCommand,
   ChangeCommand,
@@ -128,6 +129,20 @@
   }
 }
 
+/** `mustardcross settings` */
+export class SettingsCommand extends Command {
+  static override paths = [["settings"]];
+  static override usage = Command.Usage({
+    description: "Print the settings reference as Markdown",
+    examples: [["Read it", "$0 settings | less"]],
+  });
+
+  execute(): Promise<number> {
+    this.context.stdout.write(settingsReference());
+    return Promise.resolve(EXIT.ok);
+  }
+}
+
 /** `mustardcross apply` */
 export class ApplyCommand extends ChangeCommand {
   static override paths = [["apply"]];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -13,6 +13,7 @@
   HistoryCommand,
   NodeCommand,
   ServerCommand,
+  SettingsCommand,
   StatusCommand,
 } from "./commands.ts";
 import { DemoCommand } from "./demo_command.ts";
@@ -35,6 +36,7 @@
     StatusCommand,
     HistoryCommand,
     ExplainCommand,
+    SettingsCommand,
     DemoCommand,
   ]
 ) {
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -162,6 +162,11 @@
     };
   }
 
+  function keepaliveMs(): number {
+    return directory.global?.limits.timeouts.keepalive_ms ??
+      DEFAULT_KEEPALIVE_MS;
+  }
+
   function isOut(): boolean {
     return directory.domainOut(domain) || directory.serverOut(vm);
   }
@@ -439,8 +444,7 @@
       gone,
       load,
       shedMeansNotRun: settings()?.shed_means_not_run ?? false,
-      keepaliveMs: directory.global?.limits.timeouts.keepalive_ms ??
-        DEFAULT_KEEPALIVE_MS,
+      keepaliveMs: keepaliveMs(),
       onFailure: (error) => noteFailure(frame, error),
       onCompletion: (completion) => noteCompletion(frame, completion),
     });
@@ -498,7 +502,7 @@
       return;
     }
     const running = endings.get(`${attempt.source} ${attempt.order}`);
-    const keepalive = timer.every(DEFAULT_KEEPALIVE_MS, () => {
+    const keepalive = timer.every(keepaliveMs(), () => {
       void channel.send({ kind: "pong" }).catch(() => {});
     });
     const ending = await running?.finally(() => keepalive.cancel());
--- /dev/null
+++ b/src/guard/guard_parts_test.ts
@@ -0,0 +1,102 @@
+import { test } from "tap";
+import { createAttemptLedger } from "./attempt_ledger.ts";
+import { createColdRamp } from "./cold_ramp.ts";
+import { createFairQueue, type Waiting } from "./queue.ts";
+
+const LIMITS = {
+  coldLimit: 2,
+  slots: 12,
+  completionsPerSlot: 4,
+  slowFactor: 4,
+};
+
+test("trust grows with timely completions only", (t) => {
+  const ramp = createColdRamp(LIMITS);
+  t.equal(ramp.allowed, 2);
+  for (let count = 0; count < 20; count++) {
+    ramp.complete({ class: "a", latencyMs: 5, ok: false });
+  }
+  t.equal(ramp.allowed, 2, "errors earn nothing");
+  for (let count = 0; count < 200; count++) {
+    ramp.complete({ class: "a", latencyMs: 5, ok: true });
+  }
+  t.equal(ramp.allowed, 12);
+  t.notOk(ramp.cold);
+  t.end();
+});
+
+test("a run of late answers makes a warm server cold again", (t) => {
+  const ramp = createColdRamp(LIMITS);
+  for (let count = 0; count < 200; count++) {
+    ramp.complete({ class: "a", latencyMs: 5, ok: true });
+  }
+  const turned = Array.from(
+    { length: 8 },
+    () => ramp.complete({ class: "a", latencyMs: 200, ok: true }),
+  );
+  t.equal(turned.indexOf(true), 7);
+  t.equal(ramp.allowed, 2);
+  t.end();
+});
+
+test("new limits do not make a cold server warm", (t) => {
+  const ramp = createColdRamp({ ...LIMITS, coldLimit: 1, slots: 1 });
+  ramp.setLimits(LIMITS);
+  t.equal(ramp.allowed, 2);
+  t.ok(ramp.cold);
+  t.end();
+});
+
+function waiting(tenant: string, deadlineAt: number, log: string[]): Waiting {
+  return {
+    tenant,
+    deadlineAt,
+    start: () => log.push(`start ${tenant} ${deadlineAt}`),
+    refuse: () => log.push(`refuse ${tenant} ${deadlineAt}`),
+  };
+}
+
+test("the queue is fair between tenants, and by deadline within one", (t) => {
+  const log: string[] = [];
+  const queue = createFairQueue();
+  for (const at of [30, 10, 20]) {
+    queue.add(waiting("flood", at, log), 4);
+  }
+  queue.add(waiting("quiet", 99, log), 4);
+  t.notOk(queue.add(waiting("flood", 5, log), 4), "no room for the crowd");
+  t.ok(queue.add(waiting("other", 50, log), 4), "room at the crowd's cost");
+  t.same(log, ["refuse flood 30"]);
+  const running = new Map([["flood", 3]]);
+  const order: string[] = [];
+  for (let next = 0; next < 4; next++) {
+    const taken = queue.take((tenant) => running.get(tenant) ?? 0)!;
+    order.push(`${taken.tenant} ${taken.deadlineAt}`);
+  }
+  t.same(order, ["other 50", "quiet 99", "flood 10", "flood 20"]);
+  t.equal(queue.size, 0);
+  t.end();
+});
+
+test("an attempt never starts twice, nor after it was fenced", (t) => {
+  const ledger = createAttemptLedger(10);
+  const id = { source: "i", order: 1 };
+  t.equal(ledger.start(id), "started");
+  t.equal(ledger.start(id), "known");
+  t.equal(ledger.fence(id), "running");
+  const other = { source: "i", order: 2 };
+  t.equal(ledger.fence(other), "fenced");
+  t.equal(ledger.start(other), "fenced");
+  t.end();
+});
+
+test("a forgotten attempt is never taken for one that has not started", (t) => {
+  const ledger = createAttemptLedger(3);
+  for (let order = 1; order <= 10; order++) {
+    ledger.start({ source: "claims", order });
+    ledger.set({ source: "claims", order }, "finished");
+  }
+  t.equal(ledger.fence({ source: "claims", order: 2 }), "forgotten");
+  t.equal(ledger.start({ source: "claims", order: 2 }), "known");
+  t.equal(ledger.fence({ source: "claims", order: 11 }), "fenced");
+  t.end();
+});
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -115,10 +115,9 @@
 export function createIngress(options: IngressOptions): Ingress {
   const { directory, domain, timer, random, metrics } = options;
   const hints = createHints(timer);
-  const staleAfterMs = directory.global?.limits.measuring.load_stale_after_ms ??
-    200;
   const policy: Policy = createPolicy(options.policy ?? DEFAULT_POLICY, {
-    staleAfterMs,
+    staleAfterMs: () =>
+      directory.global?.limits.measuring.load_stale_after_ms ?? Infinity,
   });
   const incarnations = new Map<string, string>();
   let inFlight = 0;
