--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -54,7 +54,7 @@
 const DEFAULT_INTERVAL_MS = 500;
 /** Staleness past which another replica is asked. */
 const STALE_REPLICA_MS = 2_000;
-const MAX_EVENTS_PER_SYNC = 100;
+const MAX_EVENTS_PER_SYNC = 40;
 const SUBSCRIBE_TIMEOUT_MS = 2_000;
 const PEER_TIMEOUT_MS = 500;
 
