Part the guard, the state and the replica; a log that begins anew is empty

src/control/replica_log_test.ts was red (one member left) before the mend.

Change: crash watch out of the guard, rules for changes out of the state, elections out of the replica; no behaviour changes but the reset.

--- a/src/control/machine.ts
+++ b/src/control/machine.ts
@@ -19,6 +19,8 @@
   apply(entry: AppliedEntry): unknown;
   /** Returns the whole state as bytes. */
   snapshot(): Uint8Array;
+  /** Returns to the state before the first entry. */
+  reset(): void;
   /** Replaces the whole state. */
   restore(bytes: Uint8Array): void;
 }
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -11,11 +11,13 @@
 import type { Disk } from "../disk/disk.ts";
 import type { Rpc } from "../rpc/rpc.ts";
 import { sleep, type Timer } from "../time/timer.ts";
+import { collectVotes } from "./election.ts";
 import { createLeadership, type Leadership } from "./leadership.ts";
 import {
   createLogStore,
   type Entry,
   type LogStore,
+  type Recovered,
   type ReplicaInfo,
   type Vote,
 } from "./log_store.ts";
@@ -382,57 +384,25 @@
     });
   }
 
-  async function collectVotes(
+  /** Asks for votes, and takes over a newer term that a voter tells of. */
+  async function ask(
     term: number,
     kind: { pre: boolean; handover: boolean },
   ): Promise<boolean> {
-    const voters = log.membership.voters;
-    const needed = Math.floor(voters.length / 2) + 1;
-    const others = voters.filter((voter) => voter.identity !== identity);
-    let granted = 1;
-    let newest = vote.term;
-    if (granted >= needed) {
-      return true;
+    const { won, newestTerm } = await collectVotes(
+      { term, candidate: identity, ...kind },
+      { log, rpc, timeoutMs: tuning.callMs },
+    );
+    if (newestTerm > vote.term) {
+      void serial.run(() => adoptTerm(newestTerm)).catch(() => {});
     }
-    return await new Promise<boolean>((resolve) => {
-      let open = others.length;
-      for (const voter of others) {
-        rpc.call({
-          peer: voter.address,
-          method: voteMethod,
-          request: {
-            to: voter.identity,
-            term,
-            candidate: identity,
-            lastIndex: log.lastIndex,
-            lastTerm: log.lastTerm,
-            ...kind,
-          },
-          timeoutMs: tuning.callMs,
-        }).then((reply) => {
-          open--;
-          if (reply.isOk()) {
-            granted += reply.value.granted ? 1 : 0;
-            newest = Math.max(newest, reply.value.term);
-          }
-          if (granted >= needed) {
-            resolve(true);
-          } else if (open === 0) {
-            resolve(false);
-          }
-        });
-      }
-    }).finally(() => {
-      if (newest > vote.term) {
-        void serial.run(() => adoptTerm(newest)).catch(() => {});
-      }
-    });
+    return won;
   }
 
   async function campaign(handover: boolean): Promise<void> {
     const term = vote.term + 1;
     if (!handover) {
-      const welcome = await collectVotes(term, { pre: true, handover });
+      const welcome = await ask(term, { pre: true, handover });
       if (!welcome || hearsLeader() || vote.term !== term - 1) {
         return;
       }
@@ -447,7 +417,7 @@
     if (!stands) {
       return;
     }
-    const won = await collectVotes(term, { pre: false, handover });
+    const won = await ask(term, { pre: false, handover });
     await serial.run(() => {
       if (won && vote.term === term && role === "follower") {
         lead(term);
@@ -494,11 +464,7 @@
   }
   let electionBase = timer.now();
 
-  async function enter(): Promise<void> {
-    const recovered = await store.recover();
-    if (recovered.tornBytes > 0) {
-      logger.warn("replica.torn_tail_cut", { bytes: recovered.tornBytes });
-    }
+  function openLog(recovered: Recovered): void {
     vote = recovered.vote;
     log = createReplicaLog({
       store,
@@ -511,6 +477,14 @@
         failed: fail,
       },
     });
+  }
+
+  async function enter(): Promise<void> {
+    const recovered = await store.recover();
+    if (recovered.tornBytes > 0) {
+      logger.warn("replica.torn_tail_cut", { bytes: recovered.tornBytes });
+    }
+    openLog(recovered);
     const entrance = await enterCluster({
       vm,
       address,
@@ -529,19 +503,7 @@
     }
     identity = entrance.identity;
     if (entrance.kind === "reset" || entrance.kind === "founder") {
-      const fresh = await store.recover();
-      vote = fresh.vote;
-      log = createReplicaLog({
-        store,
-        machine,
-        recovered: fresh,
-        snapshotEvery: tuning.snapshotEvery,
-        listener: {
-          durable: () => leadership?.advance(),
-          applied,
-          failed: fail,
-        },
-      });
+      openLog(await store.recover());
     }
     role = isVoter() ? "follower" : "learner";
     electionBase = timer.now();
--- a/src/control/replica_log.ts
+++ b/src/control/replica_log.ts
@@ -96,6 +96,8 @@
 
   if (snapshot) {
     machine.restore(snapshot.state);
+  } else {
+    machine.reset();
   }
   refreshMembership();
 
--- /dev/null
+++ b/src/control/replica_log_test.ts
@@ -0,0 +1,65 @@
+import { test } from "tap";
+import { createFakeDisk } from "../disk/fake_disk.ts";
+import { createLogStore } from "./log_store.ts";
+import { createReplicaLog, type ReplicaLog } from "./replica_log.ts";
+import { createControlState } from "./state.ts";
+
+const LISTENER = { durable: () => {}, applied: () => {}, failed: () => {} };
+
+async function openLog(
+  state = createControlState(),
+): Promise<ReplicaLog> {
+  const store = createLogStore(createFakeDisk());
+  return createReplicaLog({
+    store,
+    machine: state,
+    recovered: await store.recover(),
+    snapshotEvery: 100,
+    listener: LISTENER,
+  });
+}
+
+function entry(index: number, term = 1) {
+  return { index, term, logTime: 0 };
+}
+
+test("a log that begins anew leaves nothing of an earlier state", async (t) => {
+  const state = createControlState();
+  state.apply({
+    index: 1,
+    logTime: 0,
+    command: {
+      kind: "register",
+      expectedRevision: 0,
+      member: {
+        server: "vm1",
+        service: "work",
+        domain: "east",
+        region: "r",
+        address: "vm1:1",
+        incarnation: "i",
+        boot: "b",
+        slots: 1,
+        leaving: false,
+      },
+    },
+  });
+  await openLog(state);
+  t.same(state.members(), []);
+});
+
+test("entries after a gap are refused", async (t) => {
+  const log = await openLog();
+  await log.accept([entry(1), entry(2), entry(3)]);
+  await t.rejects(log.accept([entry(5)]), /leaves a gap/);
+});
+
+test("an uncommitted conflict is overwritten, a committed one is not", async (t) => {
+  const log = await openLog();
+  await log.accept([entry(1), entry(2), entry(3)]);
+  log.commitTo(2);
+  await log.accept([entry(3, 2), entry(4, 2)]);
+  t.equal(log.lastIndex, 4);
+  t.equal(log.termAt(3), 2);
+  await t.rejects(log.accept([entry(2, 3)]), /committed already/);
+});
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -6,6 +6,7 @@
  */
 import { Packr } from "msgpackr";
 import type { Service, Site } from "../settings/site.ts";
+import { brokenRule } from "./change_rules.ts";
 import { createClaimBook, type StoredClaim } from "./claims.ts";
 import {
   type AcceptedChange,
@@ -152,104 +153,21 @@
   let claims = createClaimBook();
   let results = new Map<string, ChangeRecord>();
 
-  /** Whether any service with members would have none left in service. */
-  function emptiedService(
-    isOut: (member: Member) => boolean,
-  ): string | undefined {
-    const before = new Set<string>();
-    const after = new Set<string>();
-    for (const member of members.values()) {
-      const available = !member.leaving &&
-        !domainsOut.has(member.domain) && !serversOut.has(member.server);
-      if (available) {
-        before.add(member.service);
-        if (!isOut(member)) {
-          after.add(member.service);
-        }
-      }
-    }
-    return [...before].find((service) => !after.has(service));
-  }
-
-  function teamsTouched(change: Change): string[] {
-    const { action } = change;
-    switch (action.kind) {
-      case "configure": {
-        const before = stored.site?.services ?? {};
-        const after = action.site.services;
-        const names = new Set([...Object.keys(before), ...Object.keys(after)]);
-        const touched = [...names].filter((name) =>
-          differencesBetween(before[name], after[name]).length > 0
-        );
-        const teams = touched.flatMap((name) =>
-          [before[name]?.team, after[name]?.team]
-            .filter((team) => team !== undefined)
-        );
-        const { services: _before, ...limitsBefore } = stored.site ??
-          { services: {} };
-        const { services: _after, ...limitsAfter } = action.site;
-        const global = differencesBetween(limitsBefore, limitsAfter);
-        return global.length > 0 ? [...teams, "*"] : teams;
-      }
-      case "server_out":
-      case "server_back": {
-        const service = members.get(action.server)?.service ?? "";
-        return [stored.site?.services[service]?.team ?? "*"];
-      }
-      default:
-        return ["*"];
-    }
+  function load(next: Stored): void {
+    stored = next;
+    domainsOut = new Set(stored.domainsOut);
+    serversOut = new Set(stored.serversOut);
+    members = new Map(stored.members);
+    serviceRevisions = new Map(stored.serviceRevisions);
+    claims = createClaimBook(stored.claims);
+    results = new Map(stored.results);
   }
 
   function refusal(change: Change): ChangeResult | undefined {
-    const { action, force, teams } = change;
-    const refuse = (
-      reason: Extract<ChangeResult, { kind: "refused" }>["reason"],
-      detail: string,
-    ): ChangeResult => ({
-      kind: "refused",
-      version: stored.version,
-      reason,
-      detail,
-    });
-    if (teams) {
-      const beyond = teamsTouched(change).find((team) => !teams.includes(team));
-      if (beyond) {
-        const scope = beyond === "*" ? "the whole site" : `team ${beyond}`;
-        return refuse("forbidden", `the token does not cover ${scope}`);
-      }
-    }
-    if (action.kind === "configure") {
-      return undefined;
-    }
-    if (!stored.site) {
-      return refuse("not_configured", "no configuration was accepted yet");
-    }
-    if ("domain" in action && !stored.site.domains.includes(action.domain)) {
-      return refuse("unknown_domain", `no failure domain ${action.domain}`);
-    }
-    if (action.kind === "domain_out" && !force) {
-      const emptied = emptiedService((m) => m.domain === action.domain);
-      if (emptied) {
-        return refuse(
-          "last_domain",
-          `${action.domain} holds the last backend servers of ${emptied}`,
-        );
-      }
-    }
-    if (action.kind === "server_out" && !members.has(action.server)) {
-      return refuse("unknown_server", `no backend server ${action.server}`);
-    }
-    if (action.kind === "server_out" && !force) {
-      const emptied = emptiedService((m) => m.server === action.server);
-      if (emptied) {
-        return refuse(
-          "last_server",
-          `${action.server} is the last backend server of ${emptied}`,
-        );
-      }
-    }
-    return undefined;
+    const site = stored.site;
+    const facts = { site, members, domainsOut, serversOut };
+    const broken = brokenRule(change, facts);
+    return broken && { kind: "refused", version: stored.version, ...broken };
   }
 
   function configure(site: Site, index: number): Difference[] {
@@ -499,14 +417,7 @@
         claims: claims.entries(),
         results: [...results],
       }),
-    restore(bytes) {
-      stored = packr.unpack(bytes) as Stored;
-      domainsOut = new Set(stored.domainsOut);
-      serversOut = new Set(stored.serversOut);
-      members = new Map(stored.members);
-      serviceRevisions = new Map(stored.serviceRevisions);
-      claims = createClaimBook(stored.claims);
-      results = new Map(stored.results);
-    },
+    reset: () => load(emptyState()),
+    restore: (bytes) => load(packr.unpack(bytes) as Stored),
   };
 }
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -24,8 +24,8 @@
 import { createAttemptLedger } from "./attempt_ledger.ts";
 import { type Backend, BackendError, type BackendFactory } from "./backend.ts";
 import { type ColdRamp, createColdRamp, type RampLimits } from "./cold_ramp.ts";
+import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createKeptAnswers, type Ending } from "./kept_answers.ts";
-import { createQuarantine } from "./quarantine.ts";
 import { readAll, type Run, runAttempt } from "./run.ts";
 
 /** A backend server as it announced itself. */
@@ -49,7 +49,7 @@
   recorder: Recorder;
   createBackend: BackendFactory;
   /** Tells the other guards of the service about a crash or an acquittal. */
-  shareSuspicion: (frame: Extract<Frame, { kind: "suspicion" }>) => void;
+  shareSuspicion: (frame: SuspicionFrame) => void;
   /** A peer, at this address if it is not empty, holds a newer version. */
   onNewerVersion: (version: number, peer: string) => void;
 }
@@ -96,14 +96,8 @@
 const PROBE_TIMEOUT_MS = 250;
 const DRAIN_CHECK_MS = 10;
 const RETRY_AFTER_MS = 250;
-const RECENT_RESET_MS = 5_000;
 const DEFAULT_KEEPALIVE_MS = 100;
 
-interface Reset {
-  fingerprint: string;
-  at: number;
-}
-
 function rampLimits(service: Service): RampLimits {
   return {
     coldLimit: service.cold_limit,
@@ -134,10 +128,18 @@
     ramp,
     limits: { connections: 1, queueLimit: 0, queueWaitMs: 1 },
   });
-  const quarantine = createQuarantine(timer, () => ({
-    crashes: directory.global?.limits.quarantine.crashes ?? 2,
-    keepMs: directory.global?.limits.quarantine.keep_ms ?? 0,
-  }));
+  const crashes = createCrashWatch({
+    vm,
+    domain,
+    timer,
+    logger,
+    recorder,
+    limits: () => ({
+      crashes: directory.global?.limits.quarantine.crashes ?? 2,
+      keepMs: directory.global?.limits.quarantine.keep_ms ?? 0,
+    }),
+    share: options.shareSuspicion,
+  });
   let backend: Backend | undefined;
   let announced: Announcement | undefined;
   let leaving = false;
@@ -146,7 +148,6 @@
   let down = false;
   let wasOut = false;
   let probes = 0;
-  let resets: Reset[] = [];
   const pastBoots = new Set<string>();
 
   function settings(): Service | undefined {
@@ -229,7 +230,7 @@
     if (!settings()) {
       return "not_ready";
     }
-    if (quarantine.judge(frame.fingerprint) === "quarantined") {
+    if (crashes.judge(frame.fingerprint) === "quarantined") {
       return "quarantined";
     }
     return undefined;
@@ -264,36 +265,6 @@
     recorder.record({ kind: "cold", server: vm, domain, cause });
   }
 
-  /** Accuses everything that was in flight at a crash, here and elsewhere. */
-  function accuse(crash: string): void {
-    const since = timer.now() - RECENT_RESET_MS;
-    const suspects = new Set(
-      resets.filter((reset) => reset.at >= since)
-        .map((reset) => reset.fingerprint),
-    );
-    resets = [];
-    for (const fingerprint of suspects) {
-      const suspicion = quarantine.accuse(fingerprint, crash);
-      options.shareSuspicion({
-        kind: "suspicion",
-        fingerprint,
-        crash,
-        cleared: false,
-      });
-      if (suspicion === "quarantined") {
-        logger.warn("guard.quarantined", { fingerprint });
-        recorder.record({ kind: "quarantine", server: vm, cause: fingerprint });
-      }
-    }
-    logger.warn("guard.backend_crashed", { crash, suspects: suspects.size });
-    recorder.record({
-      kind: "crash",
-      server: vm,
-      domain,
-      cause: `${suspects.size} requests in flight`,
-    });
-  }
-
   function goDown(cause: string): void {
     if (!down) {
       down = true;
@@ -304,11 +275,11 @@
 
   /** Finds out whether a reset connection meant a crash. */
   async function examineReset(fingerprint: string): Promise<void> {
-    resets.push({ fingerprint, at: timer.now() });
+    crashes.noteReset(fingerprint);
     const examined = announced;
     const alive = await probe();
     if (!alive && examined === announced && !down) {
-      accuse(`${vm} ${examined?.boot}`);
+      crashes.accuse(`${vm} ${examined?.boot}`);
       goDown("crash");
     }
   }
@@ -362,17 +333,6 @@
     admission.pump();
   }
 
-  function acquit(frame: Attempt): void {
-    if (quarantine.clear(frame.fingerprint)) {
-      options.shareSuspicion({
-        kind: "suspicion",
-        fingerprint: frame.fingerprint,
-        crash: "",
-        cleared: true,
-      });
-    }
-  }
-
   async function serveAttempt(channel: Channel, frame: Attempt): Promise<void> {
     const { attempt } = frame;
     if (frame.version > directory.version) {
@@ -412,7 +372,7 @@
     { frame, gone }: { frame: Attempt; gone: Cancellation },
   ): Promise<void> {
     const { attempt } = frame;
-    const suspicion = quarantine.judge(frame.fingerprint);
+    const suspicion = crashes.judge(frame.fingerprint);
     const alone = frame.suspect || suspicion === "suspect";
     const verdict = await admission.admit({
       tenant: frame.tenant,
@@ -459,7 +419,7 @@
       ledger.set(attempt, end.kind === "answer" ? "finished" : "failed");
       kept.keep(end);
       if (alone && end.kind === "answer") {
-        acquit(frame);
+        crashes.acquit(frame.fingerprint);
       }
       return end;
     });
@@ -518,14 +478,6 @@
     );
   }
 
-  function hear(frame: Extract<Frame, { kind: "suspicion" }>): void {
-    if (frame.cleared) {
-      quarantine.clear(frame.fingerprint);
-    } else {
-      quarantine.accuse(frame.fingerprint, frame.crash);
-    }
-  }
-
   async function serveFrame(channel: Channel, frame: Frame): Promise<void> {
     switch (frame.kind) {
       case "attempt":
@@ -540,7 +492,7 @@
       case "ping":
         return await channel.send({ kind: "pong", load: load() });
       case "suspicion":
-        return hear(frame);
+        return crashes.hear(frame);
       case "view_request": {
         const view = directory.export(frame.services);
         return await channel.send({ kind: "view", view });
@@ -593,8 +545,8 @@
       }
       if (previous) {
         pastBoots.add(previous.boot);
-        if (!leaving && !down && resets.length > 0) {
-          accuse(`${vm} ${previous.boot}`);
+        if (!leaving && !down && crashes.sawResets) {
+          crashes.accuse(`${vm} ${previous.boot}`);
         }
       }
       directory.subscribe(next.service);
@@ -659,7 +611,7 @@
       cold: ramp.cold,
       draining: draining || leaving,
       probes,
-      suspects: quarantine.size,
+      suspects: crashes.suspects,
     }),
   };
 }
