Tell a pause from a cold start

Cause: a pause anywhere delays all that is in flight at once, and eight late answers at one moment made a warm guard cold, which then queued calls behind two slots. Only late answers that ran one after another count now.

--- a/src/guard/cold_ramp.ts
+++ b/src/guard/cold_ramp.ts
@@ -12,6 +12,8 @@
   latencyMs: number;
   /** Whether it answered without an error of its own. */
   ok: boolean;
+  /** Monotonic time of its end, in milliseconds. */
+  endedAt: number;
 }
 
 /** Limits of a ramp. */
@@ -43,7 +45,7 @@
 const FASTER_WEIGHT = 0.2;
 const SLOWER_WEIGHT = 0.02;
 const LATE_SHRINK = 0.9;
-/** Bad completions in a row that mean a warm server has turned cold. */
+/** Bad completions one after another that mean a server has turned cold. */
 const BAD_RUN = 8;
 
 /** Creates a ramp that starts cold. */
@@ -52,6 +54,7 @@
   let earned = limits.coldLimit;
   let warm = false;
   let badRun = 0;
+  let lastBadAt = 0;
   const usualMs = new Map<string, number>();
 
   function learn(completion: Completion): void {
@@ -67,6 +70,20 @@
       completion.latencyMs > usual * limits.slowFactor;
   }
 
+  /**
+   * Counts bad completions that ran one after another. A pause, here or there,
+   * delays all that is in flight at once, and says nothing about warmth.
+   */
+  function countBad(completion: Completion, bad: boolean): void {
+    const { endedAt, latencyMs } = completion;
+    if (!bad) {
+      badRun = 0;
+    } else if (badRun === 0 || endedAt - latencyMs >= lastBadAt) {
+      badRun++;
+      lastBadAt = endedAt;
+    }
+  }
+
   /** Trust grows in proportion to itself, so slowly at first. */
   function growth(): number {
     return earned / (limits.slots * limits.completionsPerSlot);
@@ -90,7 +107,7 @@
       if (completion.ok) {
         learn(completion);
       }
-      badRun = bad ? badRun + 1 : 0;
+      countBad(completion, bad);
       if (warm) {
         const turnedCold = badRun >= BAD_RUN;
         if (turnedCold) {
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -23,7 +23,12 @@
 import { type Admission, createAdmission } from "./admission.ts";
 import { createAttemptLedger } from "./attempt_ledger.ts";
 import { type Backend, BackendError, type BackendFactory } from "./backend.ts";
-import { type ColdRamp, createColdRamp, type RampLimits } from "./cold_ramp.ts";
+import {
+  type ColdRamp,
+  type Completion,
+  createColdRamp,
+  type RampLimits,
+} from "./cold_ramp.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createKeptAnswers, type Ending } from "./kept_answers.ts";
 import { readAll, type Run, runAttempt } from "./run.ts";
@@ -324,7 +329,7 @@
 
   function noteCompletion(
     frame: Attempt,
-    completion: { latencyMs: number; ok: boolean },
+    completion: Omit<Completion, "class">,
   ): void {
     const turnedCold = ramp.complete({ class: frame.class, ...completion });
     if (turnedCold) {
--- a/src/guard/run.ts
+++ b/src/guard/run.ts
@@ -14,6 +14,7 @@
   Refused,
 } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
+import type { Completion } from "./cold_ramp.ts";
 import { type Backend, type BackendAnswer, BackendError } from "./backend.ts";
 
 /** Largest answer sent as one frame, and kept, in bytes. */
@@ -46,7 +47,7 @@
   shedMeansNotRun: boolean;
   keepaliveMs: number;
   onFailure: (error: BackendError) => void;
-  onCompletion: (completion: { latencyMs: number; ok: boolean }) => void;
+  onCompletion: (completion: Omit<Completion, "class">) => void;
 }
 
 /** Reads a request body from the channel as the backend server takes it. */
@@ -136,11 +137,9 @@
     };
   }
 
-  function complete(status: number): void {
-    options.onCompletion({
-      latencyMs: timer.now() - startedAt,
-      ok: status < FIRST_SERVER_ERROR,
-    });
+  function complete(ok: boolean): void {
+    const endedAt = timer.now();
+    options.onCompletion({ latencyMs: endedAt - startedAt, ok, endedAt });
   }
 
   function shed(answer: BackendAnswer): Refused | undefined {
@@ -236,7 +235,7 @@
     }
     const end = head(answer, first);
     if (!first.streaming) {
-      complete(answer.status);
+      complete(answer.status < FIRST_SERVER_ERROR);
       return { end, sent: channel.send(end) };
     }
     // A stream that the channel no longer takes is given up.
@@ -247,7 +246,7 @@
     expiry.cancel();
     await channel.send(end);
     await sendRest(chunks);
-    complete(answer.status);
+    complete(answer.status < FIRST_SERVER_ERROR);
     return { end, sent: Promise.resolve() };
   }
 
@@ -258,7 +257,7 @@
       options.onFailure(cause);
     }
     if (cause.failure !== "aborted" || expired) {
-      options.onCompletion({ latencyMs: timer.now() - startedAt, ok: false });
+      complete(false);
     }
     return { end, sent: deliverFailure(end) };
   }).finally(() => {
