Never call an attempt not run whose first copy runs

The ledger is now asked in every case, and a second copy's channel is closed.

Besides, for the reader: unused fields and kinds removed, one way to an exchange, one name for what is kept, the plan's state made in one place of the bench.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -17,7 +17,7 @@
   registerMethod,
   syncMethod,
 } from "../src/control/node_methods.ts";
-import { createControlState } from "../src/control/state.ts";
+import { type ControlState, createControlState } from "../src/control/state.ts";
 import { freePorts } from "../src/demo/ports.ts";
 import { createDirectory } from "../src/node/directory.ts";
 import { createGrpcRpc } from "../src/rpc/grpc_rpc.ts";
@@ -94,6 +94,25 @@
   return siteSchema.parse({ name: "plan", domains, services });
 }
 
+/** A state with the plan's site accepted as its first entry. */
+function configuredState(): ControlState {
+  const state = createControlState();
+  state.apply({
+    index: 1,
+    logTime: 0,
+    command: {
+      kind: "change",
+      changeId: "c",
+      operator: "o",
+      against: 0,
+      force: false,
+      wallTime: 0,
+      action: { kind: "configure", site: bigSite() },
+    },
+  });
+  return state;
+}
+
 function memberOf(index: number, services = SERVICES): Member {
   return {
     server: `vm${index}`,
@@ -113,19 +132,10 @@
   say("## State, views and snapshots (in one process)");
   const points: [number, number][] = [];
   for (const members of [1_000, 2_000, 4_600]) {
-    const state = createControlState();
-    let index = 1;
+    const state = configuredState();
+    let index = 2;
     const apply = (command: unknown): unknown =>
       state.apply({ index: index++, logTime: 0, command });
-    apply({
-      kind: "change",
-      changeId: "c",
-      operator: "o",
-      against: 0,
-      force: false,
-      wallTime: 0,
-      action: { kind: "configure", site: bigSite() },
-    });
     for (let number = 0; number < members; number++) {
       apply({
         kind: "register",
@@ -152,20 +162,7 @@
   say(`snapshot bytes for each member: ${fit(points)}`);
   const claims: [number, number][] = [];
   for (const count of [20_000, 50_000, 100_000]) {
-    const state = createControlState();
-    state.apply({
-      index: 1,
-      logTime: 0,
-      command: {
-        kind: "change",
-        changeId: "c",
-        operator: "o",
-        against: 0,
-        force: false,
-        wallTime: 0,
-        action: { kind: "configure", site: bigSite() },
-      },
-    });
+    const state = configuredState();
     globalThis.gc?.();
     const before = process.memoryUsage().heapUsed;
     const startedAt = performance.now();
@@ -202,20 +199,7 @@
 /** Memory of a node's directory. */
 function measureDirectory(): void {
   say("\n## Directory of a node (in one process)");
-  const state = createControlState();
-  state.apply({
-    index: 1,
-    logTime: 0,
-    command: {
-      kind: "change",
-      changeId: "c",
-      operator: "o",
-      against: 0,
-      force: false,
-      wallTime: 0,
-      action: { kind: "configure", site: bigSite() },
-    },
-  });
+  const state = configuredState();
   for (let number = 0; number < UPSTREAMS; number++) {
     state.apply({
       index: number + 2,
--- a/bench/transports.ts
+++ b/bench/transports.ts
@@ -68,7 +68,6 @@
     class: "lookup",
     tenant: "default",
     repeatable: true,
-    keyed: false,
     timeLeftMs: 1_000,
     method: "GET",
     path: "/billing/accounts/1",
--- a/src/account/events.ts
+++ b/src/account/events.ts
@@ -25,11 +25,7 @@
   "configuration",
   "leader",
   "member",
-  "connection",
 ]);
-/** Kind of an event. */
-export type EventKind = z.infer<typeof eventKindSchema>;
-
 /** One event. Fields that do not apply are empty. */
 export const eventSchema = z.object({
   wallTime: z.number(),
--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -66,13 +66,3 @@
     identifier,
   };
 }
-
-/** Returns a copy of the items in random order. */
-export function shuffled<T>(items: readonly T[], random: Random): T[] {
-  const result = [...items];
-  for (let index = result.length - 1; index > 0; index--) {
-    const other = random.integer(index + 1);
-    [result[index], result[other]] = [result[other], result[index]];
-  }
-  return result;
-}
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -21,7 +21,7 @@
 import type { Directory } from "../node/directory.ts";
 import type { Service } from "../settings/site.ts";
 import { type Admission, createAdmission } from "./admission.ts";
-import { createAttemptLedger } from "./attempt_ledger.ts";
+import { attemptKey, createAttemptLedger } from "./attempt_ledger.ts";
 import { type Backend, BackendError, type BackendFactory } from "./backend.ts";
 import {
   type ColdRamp,
@@ -30,8 +30,8 @@
   type RampLimits,
 } from "./cold_ramp.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
-import { createKeptAnswers, type Ending } from "./kept_answers.ts";
-import { readAll, type Run, runAttempt } from "./run.ts";
+import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
+import { readAll, runAttempt } from "./run.ts";
 
 /** A backend server as it announced itself. */
 export interface Announcement {
@@ -125,8 +125,7 @@
   const { recorder } = options;
   const ledger = createAttemptLedger(LEDGER_CAPACITY);
   const kept = createKeptAnswers(KEPT_ANSWER_BYTES);
-  const runs = new Map<AttemptId, Run>();
-  const endings = new Map<string, Promise<Ending>>();
+  const runningEnds = new Map<string, Promise<KeptEnd>>();
   const ramp: ColdRamp = createColdRamp(UNSET_RAMP);
   const admission: Admission = createAdmission({
     timer,
@@ -241,8 +240,8 @@
     return undefined;
   }
 
+  /** Creates a refusal of an attempt that the ledger holds as fenced. */
   function refusal(attempt: AttemptId, reason: RefusalReason): Refused {
-    ledger.fence(attempt);
     return {
       kind: "refused",
       attempt,
@@ -344,17 +343,13 @@
       options.onNewerVersion(frame.version, frame.from);
     }
     const reason = standing(frame);
-    if (reason) {
-      recordRefusal(frame, reason);
-      await channel.send(refusal(attempt, reason));
-      return;
-    }
-    const begun = ledger.start(attempt);
+    const begun = reason ? ledger.fence(attempt) : ledger.start(attempt);
     if (begun === "fenced") {
-      await channel.send(refusal(attempt, "fenced"));
+      recordRefusal(frame, reason ?? "fenced");
+      await channel.send(refusal(attempt, reason ?? "fenced"));
       return;
     }
-    if (begun === "known") {
+    if (begun !== "started") {
       // Its first copy was or will be answered on its own channel.
       channel.close();
       return;
@@ -362,6 +357,18 @@
     await admitAndRun(channel, frame);
   }
 
+  /** Refuses an attempt that the ledger took in, but that did not run. */
+  async function refuseStarted(
+    channel: Channel,
+    { frame, reason }: { frame: Attempt; reason: RefusalReason },
+  ): Promise<void> {
+    ledger.set(frame.attempt, "fenced");
+    recordRefusal(frame, reason);
+    if (!channel.closed) {
+      await channel.send(refusal(frame.attempt, reason));
+    }
+  }
+
   async function admitAndRun(channel: Channel, frame: Attempt): Promise<void> {
     const gone = createCanceller();
     const release = channel.onClose(gone.cancel);
@@ -386,19 +393,15 @@
       signal: gone,
     });
     if (verdict.kind === "refused") {
-      ledger.set(attempt, "fenced");
-      recordRefusal(frame, verdict.reason);
-      if (!channel.closed) {
-        await channel.send(refusal(attempt, verdict.reason));
-      }
+      await refuseStarted(channel, { frame, reason: verdict.reason });
       return;
     }
     // The standing may have changed during the wait.
     const late = standing(frame);
     if (late || !backend) {
       verdict.place.release();
-      ledger.set(attempt, "fenced");
-      await channel.send(refusal(attempt, late ?? "no_backend_server"));
+      const reason = late ?? "no_backend_server";
+      await refuseStarted(channel, { frame, reason });
       return;
     }
     const run = runAttempt({
@@ -413,10 +416,8 @@
       onFailure: (error) => noteFailure(frame, error),
       onCompletion: (completion) => noteCompletion(frame, completion),
     });
-    runs.set(attempt, run);
     const ending = run.ended.then((end) => {
       verdict.place.release();
-      runs.delete(attempt);
       if (end.kind === "refused") {
         ledger.set(attempt, "fenced");
         return shedEnding(end);
@@ -428,13 +429,13 @@
       }
       return end;
     });
-    const key = `${attempt.source} ${attempt.order}`;
-    endings.set(key, ending);
+    const key = attemptKey(attempt);
+    runningEnds.set(key, ending);
     try {
       await run.delivered;
     } finally {
       await ending;
-      endings.delete(key);
+      runningEnds.delete(key);
     }
   }
 
@@ -466,7 +467,7 @@
       await channel.send(unknown);
       return;
     }
-    const running = endings.get(`${attempt.source} ${attempt.order}`);
+    const running = runningEnds.get(attemptKey(attempt));
     const keepalive = timer.every(keepaliveMs(), () => {
       void channel.send({ kind: "pong" }).catch(() => {});
     });
--- a/src/guard/kept_answers.ts
+++ b/src/guard/kept_answers.ts
@@ -7,28 +7,28 @@
 import { attemptKey } from "./attempt_ledger.ts";
 
 /** How an attempt ended. */
-export type Ending = Answer | Failed;
+export type KeptEnd = Answer | Failed;
 
 /** Ends of attempts, kept within a bound of bytes. */
 export interface KeptAnswers {
   /** Bytes held. */
   readonly bytes: number;
   /** Keeps an end. */
-  keep(ending: Ending): void;
+  keep(ending: KeptEnd): void;
   /** Returns an end that is still kept. */
-  get(attempt: AttemptId): Ending | undefined;
+  get(attempt: AttemptId): KeptEnd | undefined;
 }
 
 const OVERHEAD_BYTES = 512;
 
-function sizeOf(ending: Ending): number {
+function sizeOf(ending: KeptEnd): number {
   return OVERHEAD_BYTES +
     (ending.kind === "answer" ? ending.body.length : 0);
 }
 
 /** Creates an empty store; the oldest ends make room for new ones. */
 export function createKeptAnswers(maxBytes: number): KeptAnswers {
-  const endings = new Map<string, Ending>();
+  const endings = new Map<string, KeptEnd>();
   let bytes = 0;
 
   return {
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -60,12 +60,11 @@
     member: Member;
     id: AttemptId;
     suspect: boolean;
-    keyed: boolean;
     signal: Cancellation;
     stream?: AsyncIterable<Uint8Array>;
   },
 ): Promise<AttemptEnd> {
-  const { routed, member, id, suspect, keyed, signal } = attempt;
+  const { routed, member, id, suspect, signal } = attempt;
   const { deadlineAt, settings } = routed;
   const { timer, hints, exchanger } = parts;
   const startedAt = timer.now();
@@ -83,7 +82,6 @@
       member,
       attempt: id,
       suspect,
-      keyed,
     }),
     stream: attempt.stream,
     signal,
@@ -216,7 +214,6 @@
         member,
         id: nextId(),
         suspect,
-        keyed: false,
         signal,
       });
     }
@@ -230,7 +227,6 @@
         member: at,
         id: nextId(),
         suspect: false,
-        keyed: false,
         signal: cancellers[index],
       });
     }
@@ -356,7 +352,6 @@
           member,
           id: nextId(),
           suspect: crashes > 0,
-          keyed: false,
           signal: call.signal,
           stream,
         })
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -76,6 +76,15 @@
   silenceMs: () => number;
 }
 
+/** What one exchange sends, and whose end it waits for. */
+interface Work {
+  request: Frame;
+  attempt: AttemptId;
+  deadlineAt: number;
+  signal: Cancellation;
+  stream?: AsyncIterable<Uint8Array>;
+}
+
 function sameAttempt(one: AttemptId, other: AttemptId): boolean {
   return one.source === other.source && one.order === other.order;
 }
@@ -160,11 +169,7 @@
 
   async function receiveEnd(
     channel: Channel,
-    exchange: {
-      attempt: AttemptId;
-      deadlineAt: number;
-      stream?: AsyncIterable<Uint8Array>;
-    },
+    exchange: Omit<Work, "request" | "signal">,
   ): Promise<ExchangeEnd> {
     const { attempt, deadlineAt, stream } = exchange;
     while (true) {
@@ -196,13 +201,7 @@
   /** Runs an exchange on a channel and closes it unless it ended whole. */
   async function onChannel(
     channel: Channel,
-    work: {
-      request: Frame;
-      attempt: AttemptId;
-      deadlineAt: number;
-      signal: Cancellation;
-      stream?: AsyncIterable<Uint8Array>;
-    },
+    work: Work,
   ): Promise<ExchangeEnd> {
     const { signal } = work;
     const release = signal.onCancel(channel.close);
@@ -220,22 +219,20 @@
     }
   }
 
+  /** Runs an exchange on a channel to a guard. */
+  async function to(address: string, work: Work): Promise<ExchangeEnd> {
+    let channel: Channel;
+    try {
+      channel = await pool.take(address);
+    } catch (error) {
+      return { kind: "lost", sent: false, cause: errorMessage(error) };
+    }
+    return await onChannel(channel, work);
+  }
+
   return {
-    async run({ address, attempt, stream, signal, deadlineAt }) {
-      let channel: Channel;
-      try {
-        channel = await pool.take(address);
-      } catch (error) {
-        return { kind: "lost", sent: false, cause: errorMessage(error) };
-      }
-      return await onChannel(channel, {
-        request: attempt,
-        attempt: attempt.attempt,
-        deadlineAt,
-        signal,
-        stream,
-      });
-    },
+    run: ({ address, attempt, ...rest }) =>
+      to(address, { request: attempt, attempt: attempt.attempt, ...rest }),
     async fence({ address, attempt, incarnation, deadlineAt }) {
       let channel: Channel | undefined;
       try {
@@ -249,19 +246,11 @@
         return "unreachable";
       }
     },
-    async resume({ address, attempt, incarnation, deadlineAt, signal }) {
-      let channel: Channel;
-      try {
-        channel = await pool.take(address);
-      } catch (error) {
-        return { kind: "lost", sent: false, cause: errorMessage(error) };
-      }
-      return await onChannel(channel, {
+    resume: ({ address, attempt, incarnation, ...rest }) =>
+      to(address, {
         request: { kind: "resume", attempt, incarnation },
         attempt,
-        deadlineAt,
-        signal,
-      });
-    },
+        ...rest,
+      }),
   };
 }
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -89,7 +89,6 @@
   member: Member;
   attempt: Attempt["attempt"];
   suspect: boolean;
-  keyed: boolean;
 }
 
 /** Takes callers' requests. */
@@ -173,7 +172,7 @@
 
   function attemptFrame(
     routed: RoutedCall,
-    { member, attempt, suspect, keyed }: FrameOptions,
+    { member, attempt, suspect }: FrameOptions,
   ): Attempt {
     const { call, settings, tenant, fingerprint, deadlineAt, route } = routed;
     const whole = call.body instanceof Uint8Array;
@@ -188,7 +187,6 @@
       class: settings.class,
       tenant,
       repeatable: settings.repeatable,
-      keyed,
       timeLeftMs: Math.max(0, deadlineAt - timer.now()),
       method: call.method,
       path: call.path,
--- a/src/ingress/keyed.ts
+++ b/src/ingress/keyed.ts
@@ -65,7 +65,6 @@
       member,
       id: { source: CLAIM_SOURCE, order: index },
       suspect: false,
-      keyed: true,
       signal: neverCancelled,
     });
     if (end.kind === "answer") {
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -73,7 +73,6 @@
   class: z.string(),
   tenant: z.string(),
   repeatable: z.boolean(),
-  keyed: z.boolean(),
   timeLeftMs: z.number(),
   method: z.string(),
   path: z.string(),
--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -131,6 +131,3 @@
 });
 /** A whole site, with every default filled in. */
 export type Site = z.infer<typeof siteSchema>;
-
-/** The parts of a site that every node needs, whatever services it calls. */
-export type SiteLimits = Omit<Site, "services">;
--- /dev/null
+++ b/tests/scenario/late_frames_test.ts
@@ -0,0 +1,128 @@
+/**
+ * Frames that arrive late or twice at a guard.
+ */
+import { test } from "tap";
+import type { Channel } from "../../src/network/channel.ts";
+import type { Attempt, Frame } from "../../src/network/frames.ts";
+import { siteSchema } from "../../src/settings/site.ts";
+import { createWorld, SERVICE, type World } from "./world.ts";
+
+async function startWorld(): Promise<World> {
+  const world = createWorld({
+    seed: 1,
+    servers: 1,
+    site: siteSchema.parse({
+      name: "late",
+      domains: ["east"],
+      services: {
+        [SERVICE]: {
+          team: "work",
+          routes: {
+            pay: {
+              method: "POST",
+              path: "/pay/*",
+              class: "pay",
+              repeatable: false,
+            },
+          },
+        },
+      },
+    }),
+    shape: {
+      slots: 8,
+      meanMs: 200,
+      coldCompletions: 0,
+      coldFactor: 1,
+      coldBears: 100,
+    },
+  });
+  await world.begin();
+  return world;
+}
+
+function attemptFor(world: World): Attempt {
+  const { incarnation } = world.vm("vm1").node.guard;
+  return {
+    kind: "attempt",
+    attempt: { source: "elsewhere", order: 1 },
+    incarnation,
+    version: 1,
+    from: "",
+    requestId: "late1",
+    service: SERVICE,
+    class: "pay",
+    tenant: "default",
+    repeatable: false,
+    timeLeftMs: 3_000,
+    method: "POST",
+    path: "/pay/1",
+    headers: [["mustardcross-request-id", "late1"]],
+    fingerprint: "f",
+    suspect: false,
+    body: new Uint8Array(),
+    streaming: false,
+  };
+}
+
+/** Connects from elsewhere, and collects what is not a sign of life. */
+async function open(
+  world: World,
+): Promise<{ channel: Channel; got: Frame[] }> {
+  const connecting = world.network.from("elsewhere").connect("vm1:1", 100);
+  await world.timer.advance(10);
+  const channel = await connecting;
+  const got: Frame[] = [];
+  void (async () => {
+    while (true) {
+      const frame = await channel.receive();
+      if (!frame) {
+        return;
+      }
+      if (frame.kind !== "pong") {
+        got.push(frame);
+      }
+    }
+  })();
+  return { channel, got };
+}
+
+test("a second copy of an attempt that runs is never called not run", async (t) => {
+  const world = await startWorld();
+  const frame = attemptFor(world);
+  const first = await open(world);
+  const second = await open(world);
+  await first.channel.send(frame);
+  await world.timer.advance(20);
+  void world.vm("vm1").node.guard.drain();
+  await second.channel.send(frame);
+  await world.timer.advance(2_000);
+  t.same(first.got.map((one) => one.kind), ["answer"]);
+  t.same(second.got, []);
+  t.ok(second.channel.closed);
+  t.equal(world.vm("vm1").server.executions.length, 1);
+});
+
+test("an attempt that arrives after its fence never starts", async (t) => {
+  const world = await startWorld();
+  const frame = attemptFor(world);
+  const { attempt, incarnation } = frame;
+  const fencing = await open(world);
+  const late = await open(world);
+  await fencing.channel.send({ kind: "fence", attempt, incarnation });
+  await world.timer.advance(20);
+  await late.channel.send(frame);
+  await world.timer.advance(2_000);
+  t.match(fencing.got, [{ kind: "fence_state", state: "fenced" }]);
+  t.match(late.got, [{ kind: "refused", reason: "fenced" }]);
+  t.equal(world.vm("vm1").server.executions.length, 0);
+});
+
+test("an attempt for an earlier incarnation never starts", async (t) => {
+  const world = await startWorld();
+  const frame = attemptFor(world);
+  const late = await open(world);
+  await late.channel.send({ ...frame, incarnation: "earlier" });
+  await world.timer.advance(2_000);
+  t.match(late.got, [{ kind: "refused", reason: "other_incarnation" }]);
+  t.equal(world.vm("vm1").server.executions.length, 0);
+});
