--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import { errorFields, StepError } from "../core/errors.ts";
+import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createSerial, type Supervisor } from "../core/tasks.ts";
@@ -15,7 +15,6 @@
 import { createLeadership, type Leadership } from "./leadership.ts";
 import {
   createLogStore,
-  type Entry,
   type LogStore,
   type Recovered,
   type ReplicaInfo,
@@ -31,8 +30,14 @@
   snapshotMethod,
   voteMethod,
 } from "./methods.ts";
+import {
+  createProposals,
+  ProposalError,
+  type ProposalResult,
+} from "./proposals.ts";
 import { createReplicaLog, type ReplicaLog } from "./replica_log.ts";
 import { enterCluster } from "./entrance.ts";
+import { createSnapshotParts } from "./snapshot_parts.ts";
 
 /** Times and sizes of a replica. */
 export interface ReplicaTuning {
@@ -106,22 +111,6 @@
   failure: string;
 }
 
-/** Why a proposal has no result. */
-export class ProposalError extends StepError {
-  /**
-   * `not_leader`: nothing was appended. `unknown`: it may still be committed.
-   */
-  readonly reason: "not_leader" | "unknown";
-  /** RPC address of the leader, if known. */
-  readonly leader: string;
-
-  constructor(reason: "not_leader" | "unknown", leader: string) {
-    super("replica.propose", reason, { peer: leader || "local" });
-    this.reason = reason;
-    this.leader = leader;
-  }
-}
-
 /** One replica of the log. */
 export interface Replica {
   /** Reads the disk and enters the cluster in the background. */
@@ -129,7 +118,7 @@
   /** Hands leadership over if need be, and stops. */
   stop(): Promise<void>;
   /** Appends a command and returns its result once it is committed. */
-  propose(command: unknown): Promise<Result<unknown, ProposalError>>;
+  propose(command: unknown): Promise<ProposalResult>;
   /**
    * Confirms with a quorum that this replica leads and that everything
    * accepted before the call is applied here.
@@ -141,11 +130,6 @@
   stalenessMs(): number;
 }
 
-interface Waiter {
-  term: number;
-  resolve(result: Result<unknown, ProposalError>): void;
-}
-
 /** Creates a replica. */
 export function createReplica(options: ReplicaOptions): Replica {
   const { vm, address, machine, rpc, timer, random, logger } = options;
@@ -154,7 +138,8 @@
   const supervisor = options.supervisor.child();
   const { signal } = supervisor;
   const serial = createSerial();
-  const waiters = new Map<number, Waiter>();
+  const proposals = createProposals();
+  const snapshotParts = createSnapshotParts();
   const marks = new Map<string, Mark>();
 
   let log: ReplicaLog;
@@ -165,7 +150,6 @@
   let leadership: Leadership | undefined;
   let lastHeard = -Infinity;
   let failure = "";
-  let incoming: Uint8Array[] = [];
 
   function self(): ReplicaInfo {
     return { identity, vm, address };
@@ -193,13 +177,6 @@
     role = "failed";
   }
 
-  function settleWaiters(reason: "not_leader" | "unknown"): void {
-    for (const [index, waiter] of waiters) {
-      waiters.delete(index);
-      waiter.resolve(err(new ProposalError(reason, leader?.address ?? "")));
-    }
-  }
-
   function stepDown(cause: string): void {
     if (!leadership) {
       return;
@@ -210,7 +187,7 @@
     if (role === "leader") {
       role = "follower";
     }
-    settleWaiters("unknown");
+    proposals.abandon(leader?.address ?? "");
   }
 
   async function saveVote(next: Vote): Promise<void> {
@@ -230,18 +207,6 @@
     }
   }
 
-  function applied(entry: Entry, result: unknown): void {
-    const waiter = waiters.get(entry.index);
-    if (waiter) {
-      waiters.delete(entry.index);
-      waiter.resolve(
-        waiter.term === entry.term
-          ? ok(result)
-          : err(new ProposalError("unknown", leader?.address ?? "")),
-      );
-    }
-  }
-
   function upToDate(lastTerm: number, lastIndex: number): boolean {
     return lastTerm > log.lastTerm ||
       (lastTerm === log.lastTerm && lastIndex >= log.lastIndex);
@@ -331,31 +296,19 @@
         }
         await adoptTerm(request.term);
         follow(request.leader);
-        if (request.offset === 0) {
-          incoming = [];
-        }
-        const received = incoming.reduce((sum, part) => sum + part.length, 0);
-        if (request.offset !== received) {
-          return { term: vote.term, received };
-        }
-        incoming.push(request.bytes);
-        if (request.last) {
-          const state = new Uint8Array(Buffer.concat(incoming));
-          incoming = [];
+        const { received, whole } = snapshotParts.add(request);
+        if (whole) {
           await log.install({
             index: request.index,
             term: request.lastTerm,
             logTime: request.logTime,
             membership: request.membership,
-            state,
+            state: new Uint8Array(whole),
           });
           logger.info("replica.snapshot_installed", { index: request.index });
         }
         follow(request.leader);
-        return {
-          term: vote.term,
-          received: received + request.bytes.length,
-        };
+        return { term: vote.term, received };
       }));
   }
 
@@ -473,7 +426,7 @@
       snapshotEvery: tuning.snapshotEvery,
       listener: {
         durable: () => leadership?.advance(),
-        applied,
+        applied: proposals.applied,
         failed: fail,
       },
     });
@@ -550,16 +503,11 @@
     });
   }
 
-  async function propose(
-    command: unknown,
-  ): Promise<Result<unknown, ProposalError>> {
+  async function propose(command: unknown): Promise<ProposalResult> {
     if (!leadership || leadership.handingOver) {
       return err(new ProposalError("not_leader", leader?.address ?? ""));
     }
-    const entry = leadership.propose(command);
-    return await new Promise((resolve) => {
-      waiters.set(entry.index, { term: entry.term, resolve });
-    });
+    return await proposals.wait(leadership.propose(command));
   }
 
   async function confirm(): Promise<Result<number, ProposalError>> {
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -22,7 +22,7 @@
 import type { Service } from "../settings/site.ts";
 import { type Admission, createAdmission } from "./admission.ts";
 import { attemptKey, createAttemptLedger } from "./attempt_ledger.ts";
-import { type Backend, BackendError, type BackendFactory } from "./backend.ts";
+import type { BackendError, BackendFactory } from "./backend.ts";
 import {
   type ColdRamp,
   type Completion,
@@ -31,17 +31,12 @@
 } from "./cold_ramp.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
-import { readAll, runAttempt } from "./run.ts";
-
-/** A backend server as it announced itself. */
-export interface Announcement {
-  service: string;
-  address: string;
-  boot: string;
-  /** Rises with each announcement of a boot. */
-  sequence: number;
-  healthPath: string;
-}
+import { runAttempt } from "./run.ts";
+import {
+  type Announcement,
+  type AnnouncementResult,
+  createServerLink,
+} from "./server_link.ts";
 
 /** Options of {@link createGuard}. */
 export interface GuardOptions {
@@ -79,7 +74,7 @@
   /** The announced backend server, if any. */
   readonly announced: Announcement | undefined;
   /** Takes an announcement; returns whether it is the newest. */
-  announce(announcement: Announcement): "new" | "renewed" | "outdated";
+  announce(announcement: Announcement): AnnouncementResult;
   /** The backend server leaves; resolves once nothing is in flight. */
   leave(boot: string): Promise<boolean>;
   /** Stops admitting; resolves once nothing is in flight. */
@@ -98,7 +93,6 @@
 
 const LEDGER_CAPACITY = 50_000;
 const KEPT_ANSWER_BYTES = 8 * 1024 * 1024;
-const PROBE_TIMEOUT_MS = 250;
 const DRAIN_CHECK_MS = 10;
 const RETRY_AFTER_MS = 250;
 const DEFAULT_KEEPALIVE_MS = 100;
@@ -144,24 +138,26 @@
     }),
     share: options.shareSuspicion,
   });
-  let backend: Backend | undefined;
-  let announced: Announcement | undefined;
+  const link = createServerLink({
+    timer,
+    logger,
+    createBackend: options.createBackend,
+    connections: () => settings()?.connections,
+  });
   let leaving = false;
   let draining = false;
   let superseded = false;
-  let down = false;
   let wasOut = false;
-  let probes = 0;
-  const pastBoots = new Set<string>();
 
   function settings(): Service | undefined {
+    const { announced } = link;
     return announced && directory.service(announced.service)?.settings;
   }
 
   function load(): Load {
     return {
       inFlight: admission.inFlight,
-      allowed: down ? 0 : ramp.allowed,
+      allowed: link.down ? 0 : ramp.allowed,
       queued: admission.queued,
       version: directory.version,
     };
@@ -228,7 +224,8 @@
     if (directory.serverOut(vm)) {
       return "server_out";
     }
-    if (!backend || down || announced?.service !== frame.service) {
+    const serves = link.announced?.service === frame.service;
+    if (!link.backend || link.down || !serves) {
       return "no_backend_server";
     }
     if (!settings()) {
@@ -270,8 +267,7 @@
   }
 
   function goDown(cause: string): void {
-    if (!down) {
-      down = true;
+    if (link.markDown()) {
       admission.refuseWaiting("no_backend_server");
       turnCold(cause);
     }
@@ -280,44 +276,14 @@
   /** Finds out whether a reset connection meant a crash. */
   async function examineReset(fingerprint: string): Promise<void> {
     crashes.noteReset(fingerprint);
-    const examined = announced;
-    const alive = await probe();
-    if (!alive && examined === announced && !down) {
-      crashes.accuse(`${vm} ${examined?.boot}`);
+    const boot = link.announced?.boot;
+    const alive = await link.probe();
+    if (!alive && boot === link.announced?.boot && !link.down) {
+      crashes.accuse(`${vm} ${boot}`);
       goDown("crash");
     }
   }
 
-  async function probe(): Promise<boolean> {
-    const target = backend;
-    if (!target || !announced) {
-      return false;
-    }
-    probes++;
-    const abort = createCanceller();
-    const timeout = timer.after(PROBE_TIMEOUT_MS, abort.cancel);
-    try {
-      const answer = await target.send({
-        method: "GET",
-        path: announced.healthPath,
-        headers: [["host", announced.address]],
-        body: undefined,
-        timeoutMs: PROBE_TIMEOUT_MS,
-        signal: abort,
-      });
-      await readAll(answer.body);
-      if (down && target === backend) {
-        down = false;
-        logger.info("guard.backend_answers", { boot: announced.boot });
-      }
-      return true;
-    } catch {
-      return false;
-    } finally {
-      timeout.cancel();
-    }
-  }
-
   function noteFailure(frame: Attempt, error: BackendError): void {
     if (error.failure === "connect") {
       goDown("connection refused");
@@ -398,6 +364,7 @@
     }
     // The standing may have changed during the wait.
     const late = standing(frame);
+    const { backend } = link;
     if (late || !backend) {
       verdict.place.release();
       const reason = late ?? "no_backend_server";
@@ -518,51 +485,32 @@
     }
   }
 
-  function replaceBackend(next: Announcement): void {
-    void backend?.close();
-    backend = options.createBackend({
-      address: next.address,
-      connections: settings()?.connections ?? 64,
-      connectTimeoutMs: PROBE_TIMEOUT_MS,
-    });
-    down = false;
-    leaving = false;
-  }
-
   return {
     incarnation,
     get announced() {
-      return announced;
+      return link.announced;
     },
     load,
-    probe,
+    probe: link.probe,
     announce(next) {
-      const previous = announced;
-      const sameBoot = previous?.boot === next.boot;
-      if (sameBoot && next.sequence <= previous.sequence) {
-        return "outdated";
-      }
-      if (!sameBoot && pastBoots.has(next.boot)) {
-        return "outdated";
+      const previous = link.announced;
+      const crashed = previous !== undefined && !leaving && !link.down &&
+        crashes.sawResets;
+      const result = link.announce(next);
+      if (result !== "new") {
+        return result;
       }
-      announced = next;
-      if (sameBoot) {
-        return "renewed";
-      }
-      if (previous) {
-        pastBoots.add(previous.boot);
-        if (!leaving && !down && crashes.sawResets) {
-          crashes.accuse(`${vm} ${previous.boot}`);
-        }
+      if (crashed) {
+        crashes.accuse(`${vm} ${previous.boot}`);
       }
+      leaving = false;
       directory.subscribe(next.service);
-      replaceBackend(next);
       applySettings();
       turnCold("a new boot");
-      return "new";
+      return result;
     },
     async leave(boot) {
-      if (announced?.boot !== boot) {
+      if (link.announced?.boot !== boot) {
         return false;
       }
       leaving = true;
@@ -611,12 +559,12 @@
       }
     },
     status: () => ({
-      service: announced?.service ?? "",
-      boot: announced?.boot ?? "",
+      service: link.announced?.service ?? "",
+      boot: link.announced?.boot ?? "",
       ...load(),
       cold: ramp.cold,
       draining: draining || leaving,
-      probes,
+      probes: link.probes,
       suspects: crashes.suspects,
     }),
   };
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -10,7 +10,8 @@
 import type { Random } from "../core/random.ts";
 import type { Supervisor } from "../core/tasks.ts";
 import type { BackendFactory } from "../guard/backend.ts";
-import { type Announcement, createGuard, type Guard } from "../guard/guard.ts";
+import { createGuard, type Guard } from "../guard/guard.ts";
+import type { Announcement } from "../guard/server_link.ts";
 import { createRateBudget } from "../ingress/budget.ts";
 import { createExchanger } from "../ingress/exchange.ts";
 import {
