--- /dev/null
+++ b/src/account/account_test.ts
@@ -0,0 +1,92 @@
+import { test } from "tap";
+import { silentLogger } from "../core/logger.ts";
+import { createFakeDisk } from "../disk/fake_disk.ts";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import { createArchive } from "./archive.ts";
+import { createRecorder, type Event } from "./events.ts";
+import { accountPage } from "./page.ts";
+import { describeEvent, timeLine } from "./report.ts";
+
+function recorderWith(capacity: number) {
+  return createRecorder({
+    source: "vm1",
+    timer: createFakeTimer(0),
+    version: () => 7,
+    capacity,
+  });
+}
+
+function eventAt(wallTime: number, more: Partial<Event> = {}): Event {
+  const recorder = recorderWith(1);
+  recorder.record({ kind: "refused", ...more });
+  return { ...recorder.events()[0], wallTime };
+}
+
+test("events that were lost before delivery are counted", (t) => {
+  const recorder = recorderWith(8);
+  for (let count = 0; count < 20; count++) {
+    recorder.record({ kind: "refused", requestId: `r${count}` });
+  }
+  const taken = recorder.take(100);
+  t.equal(taken.length + recorder.dropped, 20);
+  t.ok(recorder.dropped > 0);
+  recorder.putBack(taken);
+  t.equal(recorder.take(100).length, taken.length);
+  t.end();
+});
+
+test("an archive finds what it kept, within its budget", async (t) => {
+  const archive = createArchive({
+    disk: createFakeDisk(),
+    logger: silentLogger,
+    segmentBytes: 2_000,
+  });
+  for (let count = 0; count < 60; count++) {
+    await archive.add([eventAt(count, { requestId: `r${count}` })]);
+  }
+  t.match(await archive.find({ requestId: "r59" }), [{ requestId: "r59" }]);
+  t.same(await archive.find({ requestId: "r0" }), [], "the oldest are gone");
+  t.ok(archive.dropped > 0, "and counted");
+  const found = await archive.find({ since: 50, until: 52 });
+  t.same(found.map((event) => event.wallTime), [50, 51, 52]);
+});
+
+test("a write that fails is counted, not thrown", async (t) => {
+  const disk = createFakeDisk();
+  disk.failFrom(1, "no space left on device");
+  const archive = createArchive({
+    disk,
+    logger: silentLogger,
+    segmentBytes: 2_000,
+  });
+  await archive.add([eventAt(1), eventAt(2)]);
+  t.equal(archive.dropped, 2);
+});
+
+test("an event is told in one line", (t) => {
+  const line = describeEvent(eventAt(0, {
+    requestId: "r1",
+    server: "vm2",
+    outcome: "not_run",
+    cause: "cold",
+  }));
+  t.equal(
+    line,
+    "1970-01-01T00:00:00.000Z vm1 v7 refused request r1 at vm2 -> not_run (cold)",
+  );
+  t.end();
+});
+
+test("a page shows gaps, and escapes what callers sent", (t) => {
+  const page = accountPage({
+    events: [eventAt(0, { requestId: "<script>" }), eventAt(100)],
+    changes: [],
+    dropped: 3,
+    missing: [],
+  });
+  t.match(page, /3 events were dropped/);
+  t.match(page, /&lt;script&gt;/);
+  t.notMatch(page, /<script>/);
+  t.same(timeLine([], 10), []);
+  t.end();
+});
--- a/src/settings/load_test.ts
+++ b/src/settings/load_test.ts
@@ -1,9 +1,15 @@
+import { fileURLToPath } from "node:url";
 import { test } from "tap";
-import { checkSite, parseSource } from "./load.ts";
+import { checkSite, loadSite, parseSource } from "./load.ts";
 import { formatMistake } from "./mistakes.ts";
 import type { Source } from "./merge.ts";
 import { processSchema } from "./process.ts";
 
+const EXAMPLES: [name: string, services: string[]][] = [
+  ["rajkot", ["billing", "records"]],
+  ["sambirano", ["lots", "documents"]],
+];
+
 const BASE = `
 name = "base"
 domains = ["a", "b"]
@@ -100,3 +106,14 @@
   t.notOk(parse("10.0.0.1:70000"));
   t.end();
 });
+
+test("the examples are without mistakes, and the broken one is not", (t) => {
+  const example = (name: string): string =>
+    fileURLToPath(new URL(`../../../examples/${name}.toml`, import.meta.url));
+  for (const [name, services] of EXAMPLES) {
+    const loaded = loadSite(example("base"), example(name));
+    t.same(Object.keys(loaded._unsafeUnwrap().site.services), services);
+  }
+  t.ok(loadSite(example("base"), example("broken-overlay")).isErr());
+  t.end();
+});
