--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -18,6 +18,9 @@
   | { kind: "not_run"; cause: string; retryAfterMs: number; final: boolean }
   | { kind: "unknown"; cause: string; crashed: boolean };
 
+/** An attempt that the backend server answered. */
+type AnswerEnd = Extract<AttemptEnd, { kind: "answer" }>;
+
 /** What attempts of an ingress share. */
 export interface DispatchBudgets {
   retryBudget: Budget;
@@ -37,7 +40,7 @@
 
 /** Turns an answer into the reply to the caller. */
 export function replyOf(
-  end: Extract<AttemptEnd, { kind: "answer" }>,
+  end: AnswerEnd,
   attempts: number,
 ): Reply {
   const { answer, body } = end.received;
@@ -194,8 +197,8 @@
   }
 
   /** Closes the answer of an attempt that lost against another. */
-  function discard(end: AttemptEnd): void {
-    if (end.kind === "answer" && !(end.received.body instanceof Uint8Array)) {
+  function discard(end: AttemptEnd | undefined): void {
+    if (end?.kind === "answer" && !(end.received.body instanceof Uint8Array)) {
       void end.received.body[Symbol.asyncIterator]().return?.();
     }
   }
@@ -338,6 +341,7 @@
     let mayHaveRun = false;
     let crashes = 0;
     let last: AttemptEnd | undefined;
+    let answered: AnswerEnd | undefined;
     let attempts = 0;
     while (attempts < maxAttempts() && timer.now() < deadlineAt) {
       const member = parts.choose(route.service, tried);
@@ -360,10 +364,11 @@
           suspect: crashes > 0,
           tried,
         });
-      if (last?.kind === "answer") {
-        discard(last);
-      }
       last = end;
+      if (end.kind === "answer") {
+        discard(answered);
+        answered = end;
+      }
       if (end.kind === "unknown") {
         mayHaveRun = true;
         crashes += end.crashed ? 1 : 0;
@@ -384,7 +389,10 @@
         cause: causeOf(end),
       });
     }
-    return settle(last, { attempts, mayHaveRun, routed });
+    // An answer, even one of failure, is more than what came after it.
+    return answered
+      ? replyOf(answered, attempts)
+      : withoutAnswer(last, { attempts, mayHaveRun, routed });
   }
 
   function causeOf(end: AttemptEnd): string {
@@ -393,19 +401,17 @@
       : end.cause;
   }
 
-  function settle(
+  /** Creates the reply to a request that no backend server answered. */
+  function withoutAnswer(
     last: AttemptEnd | undefined,
     state: { attempts: number; mayHaveRun: boolean; routed: RoutedCall },
   ): Reply {
     const { attempts, mayHaveRun, routed } = state;
-    if (last?.kind === "answer") {
-      return replyOf(last, attempts);
-    }
     if (mayHaveRun) {
       return unknownReply(last ? causeOf(last) : "lost", attempts);
     }
     const timeUp = timer.now() >= routed.deadlineAt;
-    if (!last) {
+    if (!last || last.kind === "answer") {
       return notRunReply(timeUp ? "no_time" : "no_backend_server");
     }
     const retryAfterMs = last.kind === "not_run" ? last.retryAfterMs : 0;
