Give retry and hedge budgets their reserve once the ratio is known

Cause: an ingress is made before its first view, when the ratio reads as 0, so the reserve was 0 and a quiet ingress had no retry for its first ten requests. budget_test was red (0 where the reserve is 10).

--- a/src/ingress/budget.ts
+++ b/src/ingress/budget.ts
@@ -20,16 +20,25 @@
 
 /** Creates a budget of `ratio()` pieces of extra work per ordinary one. */
 export function createRatioBudget(ratio: () => number): RatioBudget {
-  let tokens = RATIO_BURST * Math.min(1, ratio() * 10);
+  // The reserve is given once the ratio is known, which it is not at a start.
+  let tokens: number | undefined;
+
+  function current(): number {
+    if (tokens === undefined && ratio() > 0) {
+      tokens = RATIO_BURST * Math.min(1, ratio() * RATIO_BURST);
+    }
+    return tokens ?? 0;
+  }
+
   return {
     deposit() {
-      tokens = Math.min(RATIO_BURST, tokens + ratio());
+      tokens = Math.min(RATIO_BURST, current() + ratio());
     },
     take() {
-      if (ratio() === 0 || tokens < 1) {
+      if (ratio() === 0 || current() < 1) {
         return false;
       }
-      tokens--;
+      tokens = current() - 1;
       return true;
     },
   };
