Do not register a server again that leaves

Cause: found by reading: a backend server that goes on announcing itself after it has left, or whose node stops, was registered again by its next announcement. Its guard refused all work, so no promise broke, but ingresses chose it and were refused. leaving_test was red in both cases.

Ruled out: the scenarios did not show it, since they end a server's announcements when it leaves.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -328,9 +328,13 @@
         return result;
       }
       announcedAt = timer.now();
-      const unregistered = registration.renewal() === undefined;
-      if (result === "new" || unregistered) {
+      if (result === "new") {
         leaving = false;
+      }
+      // A server that leaves may go on announcing itself until it has ended.
+      const goes = leaving || stopping;
+      const unregistered = registration.renewal() === undefined;
+      if (!goes && (result === "new" || unregistered)) {
         await sync.subscribe(announcement.service);
         await register();
       }
