--- a/tests/scenario/language.ts
+++ b/tests/scenario/language.ts
@@ -128,12 +128,10 @@
 export const withoutSchema = z.enum([
   "fence",
   "claims",
-  "incarnation",
   "withdrawal",
   "leaving",
   "drain",
   "suspicion",
-  "attempt_match",
   "confirmed_start",
   "version_gossip",
 ]);
--- a/tests/scenario/late_frames_test.ts
+++ b/tests/scenario/late_frames_test.ts
@@ -4,41 +4,8 @@
 import { test } from "tap";
 import type { Channel } from "../../src/network/channel.ts";
 import type { Attempt, Frame } from "../../src/network/frames.ts";
-import { siteSchema } from "../../src/settings/site.ts";
-import { createWorld, SERVICE, type World } from "./world.ts";
-
-async function startWorld(): Promise<World> {
-  const world = createWorld({
-    seed: 1,
-    servers: 1,
-    site: siteSchema.parse({
-      name: "late",
-      domains: ["east"],
-      services: {
-        [SERVICE]: {
-          team: "work",
-          routes: {
-            pay: {
-              method: "POST",
-              path: "/pay/*",
-              class: "pay",
-              repeatable: false,
-            },
-          },
-        },
-      },
-    }),
-    shape: {
-      slots: 8,
-      meanMs: 200,
-      coldCompletions: 0,
-      coldFactor: 1,
-      coldBears: 100,
-    },
-  });
-  await world.begin();
-  return world;
-}
+import { startSmallWorld } from "./small_world.ts";
+import { SERVICE, type World } from "./world.ts";
 
 function attemptFor(world: World): Attempt {
   const { incarnation } = world.vm("vm1").node.guard;
@@ -87,7 +54,7 @@
 }
 
 test("a second copy of an attempt that runs is never called not run", async (t) => {
-  const world = await startWorld();
+  const world = await startSmallWorld({ seed: 1, servers: 1, meanMs: 200 });
   const frame = attemptFor(world);
   const first = await open(world);
   const second = await open(world);
@@ -103,7 +70,7 @@
 });
 
 test("an attempt that arrives after its fence never starts", async (t) => {
-  const world = await startWorld();
+  const world = await startSmallWorld({ seed: 1, servers: 1, meanMs: 200 });
   const frame = attemptFor(world);
   const { attempt, incarnation } = frame;
   const fencing = await open(world);
@@ -118,7 +85,7 @@
 });
 
 test("an attempt for an earlier incarnation never starts", async (t) => {
-  const world = await startWorld();
+  const world = await startSmallWorld({ seed: 1, servers: 1, meanMs: 200 });
   const frame = attemptFor(world);
   const late = await open(world);
   await late.channel.send({ ...frame, incarnation: "earlier" });
--- a/tests/scenario/leaving_test.ts
+++ b/tests/scenario/leaving_test.ts
@@ -2,36 +2,8 @@
  * A backend server that leaves, but goes on announcing itself.
  */
 import { test } from "tap";
-import { siteSchema } from "../../src/settings/site.ts";
-import { createWorld, SERVICE, type World } from "./world.ts";
-
-async function startWorld(): Promise<World> {
-  const world = createWorld({
-    seed: 5,
-    servers: 2,
-    site: siteSchema.parse({
-      name: "leaving",
-      domains: ["east", "west"],
-      services: {
-        [SERVICE]: {
-          team: "work",
-          routes: {
-            look: { path: "/look/*", class: "look", repeatable: true },
-          },
-        },
-      },
-    }),
-    shape: {
-      slots: 8,
-      meanMs: 5,
-      coldCompletions: 0,
-      coldFactor: 1,
-      coldBears: 100,
-    },
-  });
-  await world.begin();
-  return world;
-}
+import { startSmallWorld } from "./small_world.ts";
+import { SERVICE, type World } from "./world.ts";
 
 function membersSeenBy(world: World, name: string): string[] {
   const { directory } = world.vm(name).node;
@@ -39,7 +11,7 @@
 }
 
 test("a server that left is not registered again by the same boot", async (t) => {
-  const world = await startWorld();
+  const world = await startSmallWorld({ seed: 5, servers: 2 });
   const vm = world.vm("vm2");
   void vm.node.leave(vm.server.boot);
   await world.timer.advance(4_000);
@@ -50,7 +22,7 @@
 });
 
 test("a node that stops is not registered again by announcements", async (t) => {
-  const world = await startWorld();
+  const world = await startSmallWorld({ seed: 5, servers: 2 });
   const vm = world.vm("vm2");
   void vm.node.drain().then(() => vm.node.stop());
   await world.timer.advance(4_000);
--- /dev/null
+++ b/tests/scenario/small_world.ts
@@ -0,0 +1,55 @@
+/**
+ * A world for tests that send frames and calls themselves: few servers, always
+ * warm, each with one route to look and one to pay.
+ * @module
+ */
+import { siteSchema } from "../../src/settings/site.ts";
+import { createWorld, SERVICE, type World } from "./world.ts";
+
+/** What a small world is made of. */
+export interface SmallWorldOptions {
+  seed: number;
+  servers: number;
+  meanMs?: number;
+  /** Retries of work that may have run, per request. */
+  retryRatio?: number;
+}
+
+/** Starts a small world and waits until it is ready. */
+export async function startSmallWorld(
+  options: SmallWorldOptions,
+): Promise<World> {
+  const { seed, servers, meanMs = 5, retryRatio = 0.1 } = options;
+  const world = createWorld({
+    seed,
+    servers,
+    site: siteSchema.parse({
+      name: "small",
+      domains: ["east", "west"],
+      retry: { budget_ratio: retryRatio },
+      services: {
+        [SERVICE]: {
+          team: "work",
+          routes: {
+            look: { path: "/look/*", class: "look", repeatable: true },
+            pay: {
+              method: "POST",
+              path: "/pay/*",
+              class: "pay",
+              repeatable: false,
+            },
+          },
+        },
+      },
+    }),
+    shape: {
+      slots: 8,
+      meanMs,
+      coldCompletions: 0,
+      coldFactor: 1,
+      coldBears: 100,
+    },
+  });
+  await world.begin();
+  return world;
+}
--- a/tests/scenario/without.ts
+++ b/tests/scenario/without.ts
@@ -14,14 +14,6 @@
 const FRAME_CHANGES: Partial<Record<Without, (world: World) => Replace>> = {
   fence: () => (frame) =>
     frame.kind === "fence_state" ? { ...frame, state: "fenced" } : frame,
-  incarnation: (world) => (frame, to) => {
-    const guard = world.vms.find((vm) => vm.name === to)?.node.guard;
-    const changes = frame.kind === "attempt" || frame.kind === "fence" ||
-      frame.kind === "resume";
-    return changes && guard
-      ? { ...frame, incarnation: guard.incarnation }
-      : frame;
-  },
   suspicion: () => (frame) => frame.kind === "suspicion" ? undefined : frame,
   version_gossip: () => (frame) => {
     if (frame.kind === "attempt") {
