--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -292,6 +292,7 @@
       allowed: SLOTS,
       queued: waiting.length,
       version: 1,
+      slowness: 1,
     };
   }
 
--- a/bench/transports.ts
+++ b/bench/transports.ts
@@ -65,6 +65,8 @@
     from: `${HOST}:${port}`,
     requestId: "0123456789abcdef",
     service: "billing",
+    caller: "",
+    rank: 0,
     class: "lookup",
     tenant: "default",
     repeatable: true,
@@ -84,7 +86,7 @@
     headers: HEADERS,
     body: BODY,
     streaming: false,
-    load: { inFlight: 1, allowed: 12, queued: 0, version: 1 },
+    load: { inFlight: 1, allowed: 12, queued: 0, version: 1, slowness: 1 },
   };
   async function serve(channel: Channel): Promise<void> {
     while (await channel.receive()) {
--- a/src/control/change_rules.ts
+++ b/src/control/change_rules.ts
@@ -13,6 +13,8 @@
   members: ReadonlyMap<string, Member>;
   domainsOut: ReadonlySet<string>;
   serversOut: ReadonlySet<string>;
+  /** The operators' own number of the configuration, 0 for none. */
+  number: number;
 }
 
 /** Why a change is refused. */
@@ -23,7 +25,8 @@
     | "unknown_domain"
     | "unknown_server"
     | "forbidden"
-    | "not_configured";
+    | "not_configured"
+    | "number_not_above";
   detail: string;
 }
 
@@ -138,6 +141,18 @@
     : undefined;
 }
 
+function checkNumber(
+  { numbering }: Change,
+  { number }: RuleFacts,
+): BrokenRule | undefined {
+  return numbering && numbering.to <= number
+    ? {
+      reason: "number_not_above",
+      detail: `${numbering.to} is not above ${number}`,
+    }
+    : undefined;
+}
+
 /** Returns the rule that a change breaks, if any. */
 export function brokenRule(
   change: Change,
@@ -149,7 +164,7 @@
     return scope;
   }
   if (action.kind === "configure") {
-    return undefined;
+    return checkNumber(change, facts);
   }
   if (!facts.site) {
     return {
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -8,27 +8,46 @@
 
 /** What an operator asks for. */
 export const actionSchema = z.discriminatedUnion("kind", [
-  z.strictObject({ kind: z.literal("configure"), site: siteSchema }),
+  z.strictObject({
+    kind: z.literal("configure"),
+    site: siteSchema,
+    document: z.string().optional(),
+  }),
   z.strictObject({ kind: z.literal("domain_out"), domain: z.string() }),
   z.strictObject({ kind: z.literal("domain_back"), domain: z.string() }),
   z.strictObject({ kind: z.literal("server_out"), server: z.string() }),
   z.strictObject({ kind: z.literal("server_back"), server: z.string() }),
 ]);
-/** What an operator asks for. */
+/**
+ * What an operator asks for. `document` is what the site was made from; it is
+ * kept as it is, so that tools can read it back.
+ */
 export type Action = z.infer<typeof actionSchema>;
 
+const numberingSchema = z.strictObject({
+  after: z.number().int().min(0),
+  to: z.number().int().min(0),
+});
+
+/** A number that the operator gives to a configuration, and the one before. */
+export type Numbering = z.infer<typeof numberingSchema>;
+
 /** A change made by an operator. */
 export const changeSchema = z.object({
   kind: z.literal("change"),
   changeId: z.string().min(1).max(128),
   operator: z.string(),
   teams: z.array(z.string()).optional(),
-  against: z.number().int().min(0),
+  against: z.number().int().min(0).optional(),
+  numbering: numberingSchema.optional(),
   force: z.boolean(),
   wallTime: z.number(),
   action: actionSchema,
 });
-/** A change made by an operator; without `teams` it may touch everything. */
+/**
+ * A change made by an operator; without `teams` it may touch everything, and
+ * without `against` it is made on top of whatever version is current.
+ */
 export type Change = z.infer<typeof changeSchema>;
 
 /** A backend server as its node registers it. */
@@ -136,6 +155,7 @@
       "forbidden",
       "change_id_reused",
       "not_configured",
+      "number_not_above",
     ]),
     detail: z.string(),
   }),
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -34,7 +34,7 @@
 
 const RENEWAL_BATCH_MS = 500;
 const LEASE_CHECK_MS = 500;
-const CONFIRM_TIMEOUT_MS = 1_500;
+const CONFIRM_TIMEOUT_MS = 700;
 const PROPOSAL_TIMEOUT_MS = 3_000;
 const DEFAULT_LEASE_MS = 5_000;
 const ACCOUNT_SEGMENT_BYTES = 32 * 1024 * 1024;
@@ -45,6 +45,7 @@
   vm: string;
   address: string;
   founders: Record<string, string>;
+  mayFound?: boolean;
   disk: Disk;
   rpc: Rpc;
   timer: Timer;
@@ -67,7 +68,13 @@
   /** Makes a change through whichever replica leads. */
   change(
     change: z.infer<typeof changeMethod.request>,
+    timeoutMs?: number,
   ): Promise<LeaderReply<ChangeResult>>;
+  /**
+   * Whether a quorum has confirmed that this replica now holds all that was
+   * accepted before the call.
+   */
+  confirmRead(): Promise<boolean>;
   /** Returns this replica's status. */
   status(): ControlStatus;
   /** Finds events and changes on all replicas that answer. */
@@ -262,6 +269,8 @@
         confirmed,
         stalenessMs: Math.min(replica.stalenessMs(), Number.MAX_SAFE_INTEGER),
         leader: replica.status().leader,
+        replicas: replica.addresses(),
+        fleetSize: state.members().length,
         leaseLost: renewal !== undefined && lost.has(keyOf(renewal)),
         view: state.viewSince(known),
       };
@@ -326,8 +335,7 @@
   }
 
   async function find(query: Query): Promise<FoundAccount> {
-    const peers = Object.values(options.founders)
-      .filter((peer) => peer !== address);
+    const peers = replica.addresses().filter((peer) => peer !== address);
     const replies = await Promise.all(peers.map((peer) =>
       rpc.call({
         peer,
@@ -354,10 +362,11 @@
     replica,
     status,
     find,
-    change: (change) =>
+    confirmRead,
+    change: (change, timeoutMs = PROPOSAL_TIMEOUT_MS) =>
       callLeader(changeMethod, {
         request: change,
-        timeoutMs: PROPOSAL_TIMEOUT_MS,
+        timeoutMs: Math.max(1, Math.min(timeoutMs, PROPOSAL_TIMEOUT_MS)),
         local: () => propose<ChangeResult>(change),
       }),
     async start() {
--- a/src/control/entrance.ts
+++ b/src/control/entrance.ts
@@ -18,6 +18,10 @@
   vm: string;
   address: string;
   founders: Record<string, string>;
+  /** Whether an empty disk may begin a new cluster. */
+  mayFound: boolean;
+  /** A peer told who takes part. */
+  onMembers: (members: Membership) => void;
   recovered: Recovered;
   store: LogStore;
   rpc: Rpc;
@@ -57,6 +61,11 @@
   const { rpc, timer, signal } = options;
   const clusterName = Object.keys(founders).sort().join(",");
 
+  /** Name under which this replica is a founder. */
+  function ownName(): string | undefined {
+    return Object.keys(founders).find((name) => founders[name] === address);
+  }
+
   async function greet(addresses: string[]): Promise<Hello[]> {
     const last = recovered.entries.at(-1)?.index ??
       recovered.snapshot?.index ?? 0;
@@ -72,7 +81,11 @@
         timeoutMs: options.callMs,
       })
     ));
-    return replies.flatMap((reply) => reply.isOk() ? [reply.value] : []);
+    const hellos = replies.flatMap((reply) =>
+      reply.isOk() ? [reply.value] : []
+    );
+    hellos.forEach((hello) => options.onMembers(hello.members));
+    return hellos;
   }
 
   async function becomeLearner(cause: string): Promise<Entrance> {
@@ -84,7 +97,7 @@
   }
 
   async function found(): Promise<Entrance> {
-    const identity = founderIdentity(vm);
+    const identity = founderIdentity(ownName() ?? vm);
     const voters = Object.entries(founders).map(([name, peer]) => ({
       identity: founderIdentity(name),
       vm: name,
@@ -109,7 +122,7 @@
       if (hellos.some((hello) => hello.formed)) {
         return await becomeLearner("no identity on disk");
       }
-      const founds = founders[vm] === address;
+      const founds = options.mayFound && ownName() !== undefined;
       if (founds && hellos.length === others.length) {
         return await found();
       }
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -18,6 +18,11 @@
 import type { ReplicaLog } from "./replica_log.ts";
 import type { ReplicaTuning } from "./replica.ts";
 
+/** Silence after which a voter may lose its vote, in milliseconds. */
+const SILENT_VOTER_MS = 6_000;
+/** Silence after which a learner is dropped, in milliseconds. */
+const GONE_LEARNER_MS = 120_000;
+
 /** Options of {@link createLeadership}. */
 export interface LeadershipOptions {
   self: ReplicaInfo;
@@ -66,6 +71,11 @@
   answeredAt: number;
 }
 
+/** Whether two replicas stand in the same place, so that only one is alive. */
+function samePlace(one: ReplicaInfo, other: ReplicaInfo): boolean {
+  return one.vm === other.vm || one.address === other.address;
+}
+
 /** Creates one term of leadership. */
 export function createLeadership(options: LeadershipOptions): Leadership {
   const { self, term, log, rpc, timer, logger, supervisor, tuning } = options;
@@ -302,7 +312,7 @@
       return true;
     }
     // An earlier learner of the same VM has lost its disk again.
-    const others = learners.filter((learner) => learner.vm !== replica.vm);
+    const others = learners.filter((learner) => !samePlace(learner, replica));
     return changeMembership({
       voters: current,
       learners: [...others, replica],
@@ -315,12 +325,12 @@
     const ready = learners.find((learner) => {
       const peer = progress.get(learner.identity);
       return peer !== undefined && peer.matched >= log.commitIndex &&
-        peer.matched > 0;
+        peer.matched > 0 && silenceOf(learner) <= tuning.electionMs;
     });
     if (!ready) {
       return;
     }
-    const replaced = current.find((voter) => voter.vm === ready.vm);
+    const replaced = current.find((voter) => samePlace(voter, ready));
     if (replaced) {
       changeMembership({
         voters: current.filter((voter) => voter !== replaced),
@@ -334,6 +344,42 @@
     });
   }
 
+  function silenceOf(replica: ReplicaInfo): number {
+    return timer.now() - answeredAt(replica);
+  }
+
+  /**
+   * Takes the vote of a replica that has been silent for long, where that
+   * costs nothing: an even number of voters bears no more losses than one
+   * voter less. It stays a learner, so that it votes again once it is back.
+   */
+  function demoteSilentVoter(): void {
+    const { voters: current, learners } = log.membership;
+    const silent = current.find((voter) => silenceOf(voter) > SILENT_VOTER_MS);
+    if (!silent || current.length % 2 === 1) {
+      return;
+    }
+    const others = current.filter((voter) => voter !== silent);
+    const answering = others.filter((voter) =>
+      silenceOf(voter) <= tuning.electionMs
+    );
+    if (answering.length > others.length / 2) {
+      changeMembership({ voters: others, learners: [...learners, silent] });
+    }
+  }
+
+  /** Drops a learner that is gone for good. */
+  function dropSilentLearner(): void {
+    const { voters: current, learners } = log.membership;
+    const gone = learners.find((one) => silenceOf(one) > GONE_LEARNER_MS);
+    if (gone) {
+      changeMembership({
+        voters: current,
+        learners: learners.filter((one) => one !== gone),
+      });
+    }
+  }
+
   async function watch(): Promise<void> {
     while (!signal.aborted) {
       await sleep(timer, tuning.heartbeatMs, { signal });
@@ -342,7 +388,9 @@
         options.onQuorumLost();
         return;
       }
+      demoteSilentVoter();
       promoteLearner();
+      dropSilentLearner();
     }
   }
 
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -15,9 +15,8 @@
   expired(members: readonly Member[], leaseMs: number): Member[];
 }
 
-/** Creates leases that all start now. */
+/** Creates leases that each start when their member is first seen. */
 export function createLeaseBook(timer: Timer): LeaseBook {
-  const startedAt = timer.now();
   const renewedAt = new Map<string, number>();
 
   function nameOf(renewal: Renewal): string {
@@ -38,7 +37,9 @@
         }
       }
       return members.filter((member) => {
-        const since = renewedAt.get(nameOf(member)) ?? startedAt;
+        const name = nameOf(member);
+        const since = renewedAt.get(name) ?? timer.now();
+        renewedAt.set(name, since);
         return timer.now() - since > leaseMs;
       });
     },
--- a/src/control/log_store.ts
+++ b/src/control/log_store.ts
@@ -6,12 +6,11 @@
  * @module
  */
 import { Packr } from "msgpackr";
-import xxhash from "xxhash-wasm";
 import { z } from "zod";
 import { CorruptionError } from "../core/errors.ts";
+import { hash32 } from "../core/hash.ts";
 import type { Disk } from "../disk/disk.ts";
 
-const { h32Raw } = await xxhash();
 const packr = new Packr({ useRecords: false });
 
 const HEADER_BYTES = 8;
@@ -109,7 +108,7 @@
   const payload = packr.pack(value);
   const record = Buffer.allocUnsafe(HEADER_BYTES + payload.length);
   record.writeUInt32BE(payload.length, 0);
-  record.writeUInt32BE(h32Raw(payload), CHECKSUM_OFFSET);
+  record.writeUInt32BE(hash32(payload), CHECKSUM_OFFSET);
   payload.copy(record, HEADER_BYTES);
   return record;
 }
@@ -131,7 +130,7 @@
     return undefined;
   }
   const payload = bytes.subarray(start, end);
-  if (h32Raw(payload) !== bytes.readUInt32BE(offset + CHECKSUM_OFFSET)) {
+  if (hash32(payload) !== bytes.readUInt32BE(offset + CHECKSUM_OFFSET)) {
     return undefined;
   }
   return { value: packr.unpack(payload), end };
--- a/src/control/node_methods.ts
+++ b/src/control/node_methods.ts
@@ -39,7 +39,10 @@
 /** Renews the lease of a member. */
 export type Renewal = z.infer<typeof renewalSchema>;
 
-/** Asks for news and renews a lease; any replica answers. */
+/**
+ * Asks for news and renews a lease; any replica answers. The reply names the
+ * RPC addresses of all replicas and the number of registered members.
+ */
 export const syncMethod = defineMethod("sync", {
   request: z.object({
     node: z.string(),
@@ -56,6 +59,8 @@
     confirmed: z.boolean(),
     stalenessMs: z.number(),
     leader: z.string(),
+    replicas: z.array(z.string()),
+    fleetSize: z.number(),
     leaseLost: z.boolean(),
     view: viewSchema,
   }),
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -16,6 +16,7 @@
 import {
   createLogStore,
   type LogStore,
+  type Membership,
   type Recovered,
   type ReplicaInfo,
   type Vote,
@@ -79,6 +80,8 @@
   address: string;
   /** RPC addresses of the cluster's first replicas by VM name. */
   founders: Record<string, string>;
+  /** Whether an empty disk may begin a new cluster; true by default. */
+  mayFound?: boolean;
   /** Driven by committed entries. */
   machine: Machine;
   /** Data folder. */
@@ -126,10 +129,14 @@
   confirm(): Promise<Result<number, ProposalError>>;
   /** Returns the replica's view of itself. */
   status(): ReplicaStatus;
+  /** RPC addresses of all replicas that are known, this one included. */
+  addresses(): string[];
   /** Milliseconds since this replica last heard from a quorum's leader. */
   stalenessMs(): number;
 }
 
+const NO_MEMBERS: Membership = { voters: [], learners: [] };
+
 /** Creates a replica. */
 export function createReplica(options: ReplicaOptions): Replica {
   const { vm, address, machine, rpc, timer, random, logger } = options;
@@ -141,6 +148,7 @@
   const proposals = createProposals();
   const snapshotParts = createSnapshotParts();
   const marks = new Map<string, Mark>();
+  const met = new Set<string>();
 
   let log: ReplicaLog;
   let identity = "";
@@ -321,7 +329,7 @@
       return Promise.resolve({
         formed,
         rolledBack,
-        members: log?.membership ?? { voters: [], learners: [] },
+        members: log?.membership ?? NO_MEMBERS,
       });
     });
     rpc.handle(joinMethod, (request) => {
@@ -442,6 +450,11 @@
       vm,
       address,
       founders: options.founders,
+      mayFound: options.mayFound ?? true,
+      onMembers: (members) =>
+        [...members.voters, ...members.learners].forEach((member) =>
+          met.add(member.address)
+        ),
       recovered,
       store,
       rpc,
@@ -463,6 +476,18 @@
     logger.info("replica.entered", { identity, role, term: vote.term });
   }
 
+  /** Addresses of the members, of those met on entering and the founders. */
+  function knownAddresses(): string[] {
+    const { voters, learners } = log?.membership ?? NO_MEMBERS;
+    return [
+      ...new Set([
+        ...[...voters, ...learners].map((member) => member.address),
+        ...met,
+        ...Object.values(options.founders),
+      ]),
+    ];
+  }
+
   async function joinTask(): Promise<void> {
     let peer = 0;
     while (!signal.aborted) {
@@ -474,8 +499,11 @@
       }
       const addresses = [
         ...(leader ? [leader.address] : []),
-        ...Object.values(options.founders),
+        ...knownAddresses(),
       ].filter((candidate) => candidate !== address);
+      if (addresses.length === 0) {
+        continue;
+      }
       await rpc.call({
         peer: addresses[peer++ % addresses.length],
         method: joinMethod,
@@ -531,6 +559,7 @@
       await log?.idle();
       await rpc.close();
     },
+    addresses: () => [...new Set([...knownAddresses(), address])],
     stalenessMs: () => role === "leader" ? 0 : timer.now() - lastHeard,
     status: () => ({
       identity,
--- a/src/control/replica_log_test.ts
+++ b/src/control/replica_log_test.ts
@@ -3,6 +3,10 @@
 import { createLogStore } from "./log_store.ts";
 import { createReplicaLog, type ReplicaLog } from "./replica_log.ts";
 import { createControlState } from "./state.ts";
+import { hashReady } from "../core/hash.ts";
+
+// Hashes are used from the first record on.
+await hashReady;
 
 const LISTENER = { durable: () => {}, applied: () => {}, failed: () => {} };
 
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { Packr } from "msgpackr";
+import { hashText } from "../core/hash.ts";
 import type { Service, Site } from "../settings/site.ts";
 import { brokenRule } from "./change_rules.ts";
 import { createClaimBook, type StoredClaim } from "./claims.ts";
@@ -33,12 +34,15 @@
 }
 
 interface ChangeRecord {
+  /** Hash of what was asked for. */
   content: string;
   result: ChangeResult;
 }
 
 interface Stored {
   version: number;
+  number: number;
+  document: string;
   revision: number;
   logTime: number;
   globalRevision: number;
@@ -67,6 +71,10 @@
 export interface ControlState extends Machine {
   /** Version of the accepted configuration. */
   readonly version: number;
+  /** The operators' own number of the configuration, 0 for none. */
+  readonly number: number;
+  /** What the configuration was made from; empty if nothing was given. */
+  readonly document: string;
   /** Log index of the last entry that changed a view. */
   readonly revision: number;
   /** The accepted configuration. */
@@ -79,6 +87,8 @@
   members(): Member[];
   /** Returns the registration of a backend server. */
   member(server: string): Member | undefined;
+  /** Returns what became of a change, if it is remembered. */
+  resultOf(changeId: string): ChangeResult | undefined;
   /** Returns accepted changes, newest last. */
   history(): AcceptedChange[];
   /** Number of claims held. */
@@ -94,6 +104,8 @@
 function emptyState(): Stored {
   return {
     version: 0,
+    number: 0,
+    document: "",
     revision: 0,
     logTime: 0,
     globalRevision: 0,
@@ -121,6 +133,14 @@
   }
 }
 
+/** Returns the site's own routes, found by prefix. */
+function prefixesOf(site: Site): RouteTable["prefixes"] {
+  return Object.entries(site.routes).map(([name, route]) => ({
+    name,
+    ...route,
+  }));
+}
+
 /** Returns the routes of all services of a site. */
 function routesOf(site: Site): RouteTable["routes"] {
   return Object.entries(site.services).flatMap(([service, settings]) =>
@@ -133,6 +153,10 @@
   );
 }
 
+function tableOf(site: Site): Omit<RouteTable, "revision"> {
+  return { prefixes: prefixesOf(site), routes: routesOf(site) };
+}
+
 /** Drops the oldest keys of a map down to a bound. */
 function trim<K, V>(map: Map<K, V>, bound: number): void {
   for (const key of map.keys()) {
@@ -165,7 +189,8 @@
 
   function refusal(change: Change): ChangeResult | undefined {
     const site = stored.site;
-    const facts = { site, members, domainsOut, serversOut };
+    const { number } = stored;
+    const facts = { site, members, domainsOut, serversOut, number };
     const broken = brokenRule(change, facts);
     return broken && { kind: "refused", version: stored.version, ...broken };
   }
@@ -183,8 +208,8 @@
         serviceRevisions.set(name, index);
       }
     }
-    const routesBefore = stored.site ? routesOf(stored.site) : [];
-    if (differencesBetween(routesBefore, routesOf(site)).length > 0) {
+    const routesBefore = stored.site ? tableOf(stored.site) : undefined;
+    if (differencesBetween(routesBefore, tableOf(site)).length > 0) {
       stored.routesRevision = index;
     }
     stored.site = site;
@@ -208,6 +233,7 @@
   function perform(action: Action, index: number): Difference[] {
     switch (action.kind) {
       case "configure":
+        stored.document = action.document ?? "";
         return configure(action.site, index);
       case "domain_out":
       case "domain_back":
@@ -229,6 +255,7 @@
   function accept(change: Change, index: number): ChangeResult {
     const differences = perform(change.action, index);
     stored.version++;
+    stored.number = change.numbering?.to ?? stored.number;
     stored.revision = index;
     stored.globalRevision = index;
     stored.history.push({
@@ -247,13 +274,30 @@
     return { kind: "accepted", version: stored.version };
   }
 
+  /** Whether a change was made on top of another state than this one. */
+  function conflicts({ against, numbering }: Change): boolean {
+    return (against !== undefined && against !== stored.version) ||
+      (numbering !== undefined && numbering.after !== stored.number);
+  }
+
+  function conflict({ against }: Change): ChangeResult {
+    return {
+      kind: "conflict",
+      version: stored.version,
+      winner: against === undefined
+        ? undefined
+        : stored.history.find((entry) => entry.version === against + 1),
+    };
+  }
+
   function applyChange(change: Change, index: number): ChangeResult {
-    const content = JSON.stringify([
+    const content = hashText(JSON.stringify([
       change.operator,
       change.against,
+      change.numbering,
       change.force,
       change.action,
-    ]);
+    ]));
     const earlier = results.get(change.changeId);
     if (earlier) {
       return earlier.content === content ? earlier.result : {
@@ -263,14 +307,8 @@
         detail: `change id ${change.changeId} was used for another change`,
       };
     }
-    const result: ChangeResult = change.against !== stored.version
-      ? {
-        kind: "conflict",
-        version: stored.version,
-        winner: stored.history.find(
-          (entry) => entry.version === change.against + 1,
-        ),
-      }
+    const result: ChangeResult = conflicts(change)
+      ? conflict(change)
       : refusal(change) ?? accept(change, index);
     results.set(change.changeId, { content, result });
     trim(results, MAX_CHANGE_RESULTS);
@@ -340,7 +378,7 @@
   }
 
   function globalView(site: Site): GlobalView {
-    const { services: _services, ...limits } = site;
+    const { services: _services, routes: _routes, ...limits } = site;
     return {
       revision: stored.globalRevision,
       version: stored.version,
@@ -366,6 +404,12 @@
     get version() {
       return stored.version;
     },
+    get number() {
+      return stored.number;
+    },
+    get document() {
+      return stored.document;
+    },
     get revision() {
       return stored.revision;
     },
@@ -381,6 +425,7 @@
     members: () =>
       [...members.values()].map(({ revision: _revision, ...member }) => member),
     member: (server) => members.get(server),
+    resultOf: (changeId) => results.get(changeId)?.result,
     history: () => stored.history,
     claimCount: () => claims.size,
     claim: (key) => claims.get(key),
@@ -393,7 +438,7 @@
       if (site && stored.routesRevision > known.routes) {
         view.routeTable = {
           revision: stored.routesRevision,
-          routes: routesOf(site),
+          ...tableOf(site),
         };
       }
       for (const [service, revision] of Object.entries(known.services)) {
--- a/src/control/view.ts
+++ b/src/control/view.ts
@@ -4,10 +4,14 @@
  * @module
  */
 import { z } from "zod";
-import { serviceSchema, siteSchema } from "../settings/site.ts";
+import {
+  prefixRouteSchema,
+  serviceSchema,
+  siteSchema,
+} from "../settings/site.ts";
 import { memberSchema } from "./commands.ts";
 
-const limitsSchema = siteSchema.omit({ services: true });
+const limitsSchema = siteSchema.omit({ services: true, routes: true });
 
 /** The part of the view that every node holds. */
 export const globalViewSchema = z.object({
@@ -20,9 +24,13 @@
 /** The part of the view that every node holds. */
 export type GlobalView = z.infer<typeof globalViewSchema>;
 
-/** The routes of all services, which change more rarely than the rest. */
+/**
+ * All routes, which change more rarely than the rest: those of the services,
+ * and those of the site with their settings.
+ */
 export const routeTableSchema = z.object({
   revision: z.number(),
+  prefixes: z.array(prefixRouteSchema.extend({ name: z.string() })),
   routes: z.array(z.object({
     service: z.string(),
     name: z.string(),
@@ -30,7 +38,7 @@
     path: z.string(),
   })),
 });
-/** The routes of all services, which change more rarely than the rest. */
+/** All routes, which change more rarely than the rest. */
 export type RouteTable = z.infer<typeof routeTableSchema>;
 
 /** The part of the view that subscribers to one service hold. */
--- a/src/core/logger.ts
+++ b/src/core/logger.ts
@@ -37,7 +37,7 @@
 
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
-  /** Receives each finished line; standard error by default. */
+  /** Receives each finished line; standard output by default. */
   write?: (line: string) => void;
   /** Source of the time stamp, in Unix milliseconds. */
   wallTime?: () => number;
@@ -47,7 +47,7 @@
 
 /** Creates a logger that writes one line per event through consola. */
 export function createLogger(options: LoggerOptions = {}): Logger {
-  const write = options.write ?? ((line) => process.stderr.write(line + "\n"));
+  const write = options.write ?? ((line) => process.stdout.write(line + "\n"));
   const wallTime = options.wallTime ?? Date.now;
   const consola = createConsola({
     level: 3,
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -98,6 +98,7 @@
         token_file: tokenFile,
         data: join(folder, `control${index + 1}`),
         founders,
+        may_found: true,
       },
     }, { logger: silentLogger })
   ));
--- a/src/embedded.ts
+++ b/src/embedded.ts
@@ -87,6 +87,8 @@
       node.ingress.handle({
         requestId: random.identifier(),
         method: "GET",
+        host: "",
+        timeoutMs: undefined,
         headers: [],
         body: new Uint8Array(),
         bodyLength: undefined,
--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -6,7 +6,8 @@
 import type { Cancellation } from "../core/cancellation.ts";
 import type { RefusalReason } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
-import type { ColdRamp } from "./cold_ramp.ts";
+import type { Subscription } from "../time/timer.ts";
+import type { Warmup } from "./warmup.ts";
 import { createFairQueue, type Waiting } from "./queue.ts";
 
 /** Limits of admission. */
@@ -22,6 +23,8 @@
 /** A request that asks to run. */
 export interface Applicant {
   tenant: string;
+  /** Rank of the request; 0 goes first. */
+  rank: number;
   /** Monotonic time by which it must have been answered. */
   deadlineAt: number;
   /** Whether it must run with nothing beside it. */
@@ -60,22 +63,24 @@
 /** Options of {@link createAdmission}. */
 export interface AdmissionOptions {
   timer: Timer;
-  ramp: ColdRamp;
+  /** The warm-up that is in force. */
+  warmup: () => Warmup;
   limits: AdmissionLimits;
 }
 
 /** Creates admission with nothing running. */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const { timer, ramp } = options;
+  const { timer, warmup } = options;
   let { limits } = options;
   const queue = createFairQueue();
   const lonely: Waiting[] = [];
   const running = new Map<string, number>();
   let inFlight = 0;
   let aloneRunning = false;
+  let pausePump: Subscription | undefined;
 
   function allowed(): number {
-    return Math.min(ramp.allowed, limits.connections);
+    return Math.min(warmup().allowed, limits.connections);
   }
 
   function runningOf(tenant: string): number {
@@ -83,12 +88,14 @@
   }
 
   function hasRoom(): boolean {
-    return !aloneRunning && lonely.length === 0 && inFlight < allowed();
+    return !aloneRunning && lonely.length === 0 && inFlight < allowed() &&
+      warmup().pauseMs === 0;
   }
 
   function occupy(applicant: Applicant): Place {
     const { tenant, alone } = applicant;
     inFlight++;
+    warmup().started();
     aloneRunning = alone;
     running.set(tenant, runningOf(tenant) + 1);
     let released = false;
@@ -121,18 +128,30 @@
     while (queue.size > 0 && hasRoom()) {
       queue.take(runningOf)!.start();
     }
+    pumpAfterPause();
+  }
+
+  /** A cold server's pause ends without any event of its own. */
+  function pumpAfterPause(): void {
+    const { pauseMs } = warmup();
+    if (queue.size > 0 && pauseMs > 0 && !pausePump) {
+      pausePump = timer.after(Math.ceil(pauseMs), () => {
+        pausePump = undefined;
+        pump();
+      });
+    }
   }
 
   function reasonForFull(): RefusalReason {
     if (inFlight >= limits.connections) {
       return "no_connection";
     }
-    return ramp.cold ? "cold" : "overloaded";
+    return warmup().cold ? "cold" : "overloaded";
   }
 
   function wait(applicant: Applicant): Promise<Verdict> {
     return new Promise((resolve) => {
-      const { tenant, deadlineAt, alone, signal } = applicant;
+      const { tenant, rank, deadlineAt, alone, signal } = applicant;
       const longest = Math.min(limits.queueWaitMs, deadlineAt - timer.now());
       const timeout = timer.after(longest, () => {
         remove();
@@ -157,6 +176,7 @@
       }
       const waiting: Waiting = {
         tenant,
+        rank,
         deadlineAt,
         start: () => finish({ kind: "admitted", place: occupy(applicant) }),
         refuse: () => finish({ kind: "refused", reason: refusalReason }),
@@ -173,6 +193,7 @@
       } else if (!queue.add(waiting, limits.queueLimit)) {
         waiting.refuse();
       }
+      pumpAfterPause();
     });
   }
   const refusers = new WeakMap<Waiting, (reason: RefusalReason) => void>();
--- a/src/guard/backend.ts
+++ b/src/guard/backend.ts
@@ -11,26 +11,66 @@
   method: string;
   /** Path with query. */
   path: string;
+  /** The caller's headers. */
   headers: HeaderList;
   body: Uint8Array | AsyncIterable<Uint8Array> | undefined;
+  /** Identifies the request; empty for a health check. */
+  requestId: string;
+  /** Service on whose VM the request began; empty if there is none. */
+  caller: string;
+  /** Instance that the request is meant for; empty if any may run it. */
+  instance: string;
+  /** Time that is left for the request, in milliseconds. */
+  timeLeftMs: number;
   /** Longest time until the answer's head, in milliseconds. */
   timeoutMs: number;
   /** Cancels the request. */
   signal: Cancellation;
 }
 
+/** Load of a backend server as it reports it itself. */
+export interface ServerReport {
+  running: number;
+  waiting: number;
+  slots: number;
+  /** Time that work takes at present, as a multiple of the usual. */
+  slowness: number;
+}
+
+/** What the head of an answer says beside its status. */
+export interface BackendVerdict {
+  /** The backend server proves that it did not run the request. */
+  notRun?: boolean;
+  /** Why this cannot be the answer to the request. */
+  defect?: string;
+  /** Another instance than the expected one is at the address. */
+  otherInstance?: boolean;
+  /** Instance that answered. */
+  instance?: string;
+  /** Time for which the server says that it stays cold, in milliseconds. */
+  coldMs?: number;
+  report?: ServerReport;
+}
+
 /** The answer of the backend server. */
 export interface BackendAnswer {
   status: number;
   headers: HeaderList;
   /** A whole body, or a stream that throws `BackendError` when it is cut. */
   body: Uint8Array | AsyncIterable<Uint8Array>;
+  verdict?: BackendVerdict;
 }
 
 /**
  * How a request failed. Only after `connect` is it certain that nothing ran.
+ * `defective`: what came is no answer to this request.
  */
-export type BackendFailure = "connect" | "reset" | "timeout" | "aborted";
+export type BackendFailure =
+  | "connect"
+  | "reset"
+  | "timeout"
+  | "aborted"
+  | "defective";
 
 /** A request to the backend server failed. */
 export class BackendError extends StepError {
--- a/src/guard/cold_ramp.ts
+++ b/src/guard/cold_ramp.ts
@@ -4,17 +4,7 @@
  * @module
  */
 
-/** How one request ended at the backend server. */
-export interface Completion {
-  /** Class of the request; latencies are compared within a class. */
-  class: string;
-  /** Time that the backend server took, in milliseconds. */
-  latencyMs: number;
-  /** Whether it answered without an error of its own. */
-  ok: boolean;
-  /** Monotonic time of its end, in milliseconds. */
-  endedAt: number;
-}
+import type { Completion, Warmup } from "./warmup.ts";
 
 /** Limits of a ramp. */
 export interface RampLimits {
@@ -28,16 +18,8 @@
   slowFactor: number;
 }
 
-/** The work that a backend server is trusted with. */
-export interface ColdRamp {
-  /** Requests that may run at once. */
-  readonly allowed: number;
-  /** Whether the server is still earning its slots. */
-  readonly cold: boolean;
-  /** Learns from a completion; returns whether the server turned cold. */
-  complete(completion: Completion): boolean;
-  /** Starts again from the cold limit. */
-  reset(): void;
+/** Trust that is earned by completions. */
+export interface ColdRamp extends Warmup {
   /** Takes new limits over. */
   setLimits(limits: RampLimits): void;
 }
@@ -102,6 +84,9 @@
     get cold() {
       return !warm;
     },
+    pauseMs: 0,
+    started: () => {},
+    noteCold: () => {},
     complete(completion) {
       const bad = !completion.ok || isLate(completion);
       if (completion.ok) {
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -22,13 +22,13 @@
 import type { Service } from "../settings/site.ts";
 import { type Admission, createAdmission } from "./admission.ts";
 import { attemptKey, createAttemptLedger } from "./attempt_ledger.ts";
-import type { BackendError, BackendFactory } from "./backend.ts";
-import {
-  type ColdRamp,
-  type Completion,
-  createColdRamp,
-  type RampLimits,
-} from "./cold_ramp.ts";
+import type {
+  BackendError,
+  BackendFactory,
+  BackendVerdict,
+} from "./backend.ts";
+import { type ColdRamp, createColdRamp, type RampLimits } from "./cold_ramp.ts";
+import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
 import { runAttempt } from "./run.ts";
@@ -37,6 +37,7 @@
   type AnnouncementResult,
   createServerLink,
 } from "./server_link.ts";
+import type { Completion, Warmup } from "./warmup.ts";
 
 /** Options of {@link createGuard}. */
 export interface GuardOptions {
@@ -106,6 +107,9 @@
   };
 }
 
+/** Time for which a server is taken for cold if the settings do not say. */
+const DEFAULT_COLD_MS = 3_000;
+
 const UNSET_RAMP: RampLimits = {
   coldLimit: 1,
   slots: 1,
@@ -121,9 +125,14 @@
   const kept = createKeptAnswers(KEPT_ANSWER_BYTES);
   const runningEnds = new Map<string, Promise<KeptEnd>>();
   const ramp: ColdRamp = createColdRamp(UNSET_RAMP);
+  const coldRate = createColdRate(timer, () => ({
+    perSecond: settings()?.cold_rate_per_s ?? 1,
+    coldMs: settings()?.cold_ms ?? DEFAULT_COLD_MS,
+    slots: slots(),
+  }));
   const admission: Admission = createAdmission({
     timer,
-    ramp,
+    warmup,
     limits: { connections: 1, queueLimit: 0, queueWaitMs: 1 },
   });
   const crashes = createCrashWatch({
@@ -143,6 +152,8 @@
     logger,
     createBackend: options.createBackend,
     connections: () => settings()?.connections,
+    healthPath: () => settings()?.health_path,
+    onCold: coldRate.noteCold,
   });
   let leaving = false;
   let draining = false;
@@ -154,12 +165,23 @@
     return announced && directory.service(announced.service)?.settings;
   }
 
+  /** Requests that the backend server runs at once. */
+  function slots(): number {
+    return link.announced?.slots ?? settings()?.slots ?? 1;
+  }
+
+  /** The warm-up that fits what is known of the service. */
+  function warmup(): Warmup {
+    return settings()?.cold_rate_per_s === undefined ? ramp : coldRate;
+  }
+
   function load(): Load {
     return {
       inFlight: admission.inFlight,
-      allowed: link.down ? 0 : ramp.allowed,
+      allowed: link.down ? 0 : warmup().allowed,
       queued: admission.queued,
       version: directory.version,
+      slowness: link.report?.slowness ?? 1,
     };
   }
 
@@ -197,7 +219,8 @@
       admission.refuseWaiting(reason);
       recorder.record({ kind: "withdrawn", server: vm, domain, cause: reason });
     } else {
-      ramp.reset();
+      warmup().reset();
+      void link.probe();
       recorder.record({ kind: "returned", server: vm, domain });
     }
     logger.info(out ? "guard.withdrawn" : "guard.returned", { domain });
@@ -261,7 +284,7 @@
   }
 
   function turnCold(cause: string): void {
-    ramp.reset();
+    warmup().reset();
     logger.warn("guard.cold", { cause });
     recorder.record({ kind: "cold", server: vm, domain, cause });
   }
@@ -292,11 +315,22 @@
     }
   }
 
+  function noteVerdict(verdict: BackendVerdict): void {
+    if (verdict.otherInstance) {
+      goDown("another instance is at the address");
+      return;
+    }
+    link.noteVerdict(verdict);
+  }
+
   function noteCompletion(
     frame: Attempt,
     completion: Omit<Completion, "class">,
   ): void {
-    const turnedCold = ramp.complete({ class: frame.class, ...completion });
+    const turnedCold = warmup().complete({
+      class: frame.class,
+      ...completion,
+    });
     if (turnedCold) {
       turnCold("late or failing answers");
     }
@@ -354,6 +388,7 @@
     const alone = frame.suspect || suspicion === "suspect";
     const verdict = await admission.admit({
       tenant: frame.tenant,
+      rank: frame.rank,
       deadlineAt: timer.now() + frame.timeLeftMs,
       alone,
       signal: gone,
@@ -375,6 +410,7 @@
       channel,
       frame,
       backend,
+      instance: link.announced?.instance ?? "",
       timer,
       gone,
       load,
@@ -382,6 +418,7 @@
       keepaliveMs: keepaliveMs(),
       onFailure: (error) => noteFailure(frame, error),
       onCompletion: (completion) => noteCompletion(frame, completion),
+      onVerdict: noteVerdict,
     });
     const ending = run.ended.then((end) => {
       verdict.place.release();
@@ -413,6 +450,7 @@
       outcome: "not_run",
       cause: end.reason,
       crashed: false,
+      reached: true,
       load: end.load,
     };
   }
@@ -428,6 +466,7 @@
       outcome: "unknown",
       cause: "the answer is not kept",
       crashed: false,
+      reached: true,
       load: load(),
     };
     if (request.incarnation !== incarnation) {
@@ -498,6 +537,9 @@
         crashes.sawResets;
       const result = link.announce(next);
       if (result !== "new") {
+        if (result === "renewed" && next.coldMs) {
+          coldRate.noteCold(next.coldMs);
+        }
         return result;
       }
       if (crashed) {
@@ -507,9 +549,13 @@
       directory.subscribe(next.service);
       applySettings();
       turnCold("a new boot");
+      if (next.coldMs !== undefined) {
+        coldRate.noteCold(next.coldMs);
+      }
       return result;
     },
     async leave(boot) {
+      link.bar(boot);
       if (link.announced?.boot !== boot) {
         return false;
       }
--- a/src/guard/guard_parts_test.ts
+++ b/src/guard/guard_parts_test.ts
@@ -68,6 +68,7 @@
 function waiting(tenant: string, deadlineAt: number, log: string[]): Waiting {
   return {
     tenant,
+    rank: 0,
     deadlineAt,
     start: () => log.push(`start ${tenant} ${deadlineAt}`),
     refuse: () => log.push(`refuse ${tenant} ${deadlineAt}`),
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -7,6 +7,7 @@
 import { errors, Pool } from "undici";
 import { errorMessage } from "../core/errors.ts";
 import type { HeaderList } from "../core/headers.ts";
+import { type BackendDialect, PlainBackendDialect } from "../http/dialect.ts";
 import {
   type Backend,
   BackendError,
@@ -15,9 +16,11 @@
 } from "./backend.ts";
 
 const BODY_TIMEOUT_MS = 30_000;
-const KEEP_ALIVE_MS = 30_000;
+/** Idle time of a connection whose server names none, in milliseconds. */
+const KEEP_ALIVE_MS = 400;
+/** Time before the server's own limit at which it is closed here. */
+const KEEP_ALIVE_MARGIN_MS = 1_000;
 const SHORT_BYTES = 32 * 1024;
-
 const NOT_CONNECTED = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
@@ -67,66 +70,94 @@
   return length <= SHORT_BYTES;
 }
 
-/** Creates a backend server's client over HTTP/1.1. */
-export const createHttpBackend: BackendFactory = (options): Backend => {
-  const { address, connections, connectTimeoutMs } = options;
-  const pool = new Pool(`http://${address}`, {
-    connections,
-    pipelining: 1,
-    connectTimeout: connectTimeoutMs,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    bodyTimeout: BODY_TIMEOUT_MS,
-  });
-
-  function wrap(error: unknown): BackendError {
-    return new BackendError(failureOf(error), {
-      peer: address,
-      message: errorMessage(error),
-      cause: error,
+/** Creates clients of backend servers that speak a dialect. */
+export function httpBackends(dialect: BackendDialect): BackendFactory {
+  return ({ address, connections, connectTimeoutMs }): Backend => {
+    const pool = new Pool(`http://${address}`, {
+      connections,
+      pipelining: 1,
+      connectTimeout: connectTimeoutMs,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      bodyTimeout: BODY_TIMEOUT_MS,
     });
-  }
 
-  async function* guarded(
-    body: AsyncIterable<Uint8Array>,
-    release: () => void,
-  ): AsyncIterable<Uint8Array> {
-    try {
-      yield* body;
-    } catch (error) {
-      throw wrap(error);
-    } finally {
-      release();
+    function wrap(error: unknown): BackendError {
+      if (error instanceof BackendError) {
+        return error;
+      }
+      return new BackendError(failureOf(error), {
+        peer: address,
+        message: errorMessage(error),
+        cause: error,
+      });
     }
-  }
 
-  return {
-    async send(request) {
-      const { method, path, headers, body, timeoutMs } = request;
-      const signal = new EventEmitter();
-      const release = request.signal.onCancel(() => signal.emit("abort"));
+    async function* guarded(
+      body: AsyncIterable<Uint8Array>,
+      release: () => void,
+    ): AsyncIterable<Uint8Array> {
       try {
-        const answer = await pool.request({
-          method: method as "GET",
-          path,
-          headers: headers.flat(),
-          body: body === undefined || body instanceof Uint8Array
-            ? body
-            : Readable.from(body),
-          headersTimeout: Math.max(1, Math.ceil(timeoutMs)),
-          signal,
-        });
-        return {
-          status: answer.statusCode,
-          headers: headerList(answer.headers),
-          body: isShort(answer.headers)
-            ? new Uint8Array(await answer.body.arrayBuffer())
-            : guarded(answer.body, release),
-        };
+        yield* body;
       } catch (error) {
-        release();
         throw wrap(error);
+      } finally {
+        release();
       }
-    },
-    close: () => pool.close(),
+    }
+
+    return {
+      async send(request) {
+        const { method, path, body, timeoutMs } = request;
+        const signal = new EventEmitter();
+        const release = request.signal.onCancel(() => signal.emit("abort"));
+        try {
+          const answer = await pool.request({
+            method: method as "GET",
+            path,
+            headers: [...request.headers, ...dialect.requestHeaders(request)]
+              .flat(),
+            body: body === undefined || body instanceof Uint8Array
+              ? body
+              : Readable.from(body),
+            headersTimeout: Math.max(1, Math.ceil(timeoutMs)),
+            signal,
+          });
+          const head = {
+            status: answer.statusCode,
+            headers: headerList(answer.headers),
+          };
+          const verdict = dialect.judge(head, request);
+          if (verdict.defect) {
+            // Whatever else is on this connection belongs to no request.
+            answer.body.on("error", () => {}).destroy();
+            throw new BackendError("defective", {
+              peer: address,
+              message: verdict.defect,
+            });
+          }
+          const whole = isShort(answer.headers)
+            ? new Uint8Array(await answer.body.arrayBuffer())
+            : undefined;
+          if (whole) {
+            release();
+          }
+          return {
+            ...head,
+            verdict,
+            body: whole ?? guarded(answer.body, release),
+          };
+        } catch (error) {
+          release();
+          throw wrap(error);
+        }
+      },
+      close: () => pool.close(),
+    };
   };
-};
+}
+
+/** Creates a backend server's client that speaks the product's own HTTP. */
+export const createHttpBackend: BackendFactory = httpBackends(
+  new PlainBackendDialect(),
+);
--- a/src/guard/queue.ts
+++ b/src/guard/queue.ts
@@ -1,12 +1,14 @@
 /**
- * The short queue at a guard: fair between tenants, and by deadline within a
- * tenant.
+ * The short queue at a guard: fair between tenants, and by rank and deadline
+ * within a tenant.
  * @module
  */
 
 /** One waiting request. */
 export interface Waiting {
   tenant: string;
+  /** Rank; 0 goes first. */
+  rank: number;
   /** Monotonic time by which it must have been answered. */
   deadlineAt: number;
   /** Starts the request. */
@@ -32,6 +34,13 @@
   drain(): Waiting[];
 }
 
+/** Whether a request goes before another: by rank, then by deadline. */
+function goesBefore(one: Waiting, other: Waiting): boolean {
+  return one.rank === other.rank
+    ? one.deadlineAt < other.deadlineAt
+    : one.rank < other.rank;
+}
+
 /** Creates an empty queue. */
 export function createFairQueue(): FairQueue {
   const tenants = new Map<string, Waiting[]>();
@@ -40,9 +49,7 @@
   function insert(request: Waiting): void {
     const list = tenants.get(request.tenant) ?? [];
     tenants.set(request.tenant, list);
-    const after = list.findIndex((other) =>
-      other.deadlineAt > request.deadlineAt
-    );
+    const after = list.findIndex((other) => goesBefore(request, other));
     list.splice(after < 0 ? list.length : after, 0, request);
     size++;
   }
@@ -96,8 +103,7 @@
       let bestRunning = Infinity;
       for (const [tenant, list] of tenants) {
         const running = runningOf(tenant);
-        const earlier = best === undefined ||
-          list[0].deadlineAt < best.deadlineAt;
+        const earlier = best === undefined || goesBefore(list[0], best);
         if (running < bestRunning || (running === bestRunning && earlier)) {
           best = list[0];
           bestRunning = running;
--- a/src/guard/run.ts
+++ b/src/guard/run.ts
@@ -4,7 +4,7 @@
  */
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorMessage, StepError } from "../core/errors.ts";
-import { endToEnd, headerValue, TIMEOUT_HEADER } from "../core/headers.ts";
+import { endToEnd, headerValue } from "../core/headers.ts";
 import type { Channel } from "../network/channel.ts";
 import type {
   Answer,
@@ -14,8 +14,13 @@
   Refused,
 } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
-import type { Completion } from "./cold_ramp.ts";
-import { type Backend, type BackendAnswer, BackendError } from "./backend.ts";
+import {
+  type Backend,
+  type BackendAnswer,
+  BackendError,
+  type BackendVerdict,
+} from "./backend.ts";
+import type { Completion } from "./warmup.ts";
 
 /** Largest answer sent as one frame, and kept, in bytes. */
 export const WHOLE_ANSWER_BYTES = 64 * 1024;
@@ -40,6 +45,8 @@
   channel: Channel;
   frame: Attempt;
   backend: Backend;
+  /** Instance of the backend server that is meant to run it. */
+  instance: string;
   timer: Timer;
   /** Aborted when the channel closes. */
   gone: Cancellation;
@@ -48,6 +55,8 @@
   keepaliveMs: number;
   onFailure: (error: BackendError) => void;
   onCompletion: (completion: Omit<Completion, "class">) => void;
+  /** The head of an answer has come. */
+  onVerdict: (verdict: BackendVerdict) => void;
 }
 
 /** Reads a request body from the channel as the backend server takes it. */
@@ -133,6 +142,7 @@
       outcome,
       cause: `${error.failure}: ${error.message}`,
       crashed: error.failure === "reset",
+      reached: error.failure !== "connect",
       load: load(),
     };
   }
@@ -143,7 +153,9 @@
   }
 
   function shed(answer: BackendAnswer): Refused | undefined {
-    if (answer.status !== SHED_STATUS || !options.shedMeansNotRun) {
+    const shedBySetting = answer.status === SHED_STATUS &&
+      options.shedMeansNotRun;
+    if (!shedBySetting && !answer.verdict?.notRun) {
       return undefined;
     }
     const seconds = Number(headerValue(answer.headers, "retry-after") ?? 1);
@@ -172,15 +184,17 @@
 
   async function request(): Promise<BackendAnswer> {
     const left = Math.max(0, frame.timeLeftMs - (timer.now() - startedAt));
-    const headers = endToEnd(frame.headers);
-    headers.push([TIMEOUT_HEADER, String(Math.floor(left))]);
     if (frame.streaming) {
       await channel.send({ kind: "admitted" });
     }
     return await backend.send({
       method: frame.method,
       path: frame.path,
-      headers,
+      headers: endToEnd(frame.headers),
+      requestId: frame.requestId,
+      caller: frame.caller,
+      instance: options.instance,
+      timeLeftMs: left,
       body: frame.streaming
         ? bodyFrom(channel)
         : frame.body.length > 0
@@ -225,6 +239,9 @@
 
   async function perform(): Promise<{ end: End; sent: Promise<void> }> {
     const answer = await request();
+    if (answer.verdict) {
+      options.onVerdict(answer.verdict);
+    }
     const chunks = chunksOf(answer.body);
     const first = answer.body instanceof Uint8Array
       ? { body: answer.body, streaming: false }
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -6,7 +6,12 @@
 import { createCanceller } from "../core/cancellation.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Timer } from "../time/timer.ts";
-import type { Backend, BackendFactory } from "./backend.ts";
+import type {
+  Backend,
+  BackendFactory,
+  BackendVerdict,
+  ServerReport,
+} from "./backend.ts";
 import { readAll } from "./run.ts";
 
 /** A backend server as it announced itself. */
@@ -17,10 +22,18 @@
   /** Rises with each announcement of a boot. */
   sequence: number;
   healthPath: string;
+  /** Instance by which the server knows itself; empty if it has none. */
+  instance?: string;
+  /** Unix time of its start in milliseconds, if it tells. */
+  startedAt?: number;
+  /** Requests that it runs at once, if it tells. */
+  slots?: number;
+  /** Time for which it stays cold in milliseconds, if it tells. */
+  coldMs?: number;
 }
 
 /** What an announcement means. */
-export type AnnouncementResult = "new" | "renewed" | "outdated";
+export type AnnouncementResult = "new" | "renewed" | "repeated" | "outdated";
 
 /** Options of {@link createServerLink}. */
 export interface ServerLinkOptions {
@@ -29,6 +42,10 @@
   createBackend: BackendFactory;
   /** Connections that the backend server accepts, once that is known. */
   connections: () => number | undefined;
+  /** Path of the health check, once the service's settings are known. */
+  healthPath: () => string | undefined;
+  /** The server says for how long it stays cold, in milliseconds. */
+  onCold: (coldMs: number) => void;
 }
 
 /** The link to the announced backend server. */
@@ -43,10 +60,16 @@
   readonly probes: number;
   /** Takes an announcement; one from an earlier boot is outdated. */
   announce(next: Announcement): AnnouncementResult;
+  /** Takes no announcement of a boot any more. */
+  bar(boot: string): void;
   /** Notes that it does not answer; returns whether that is news. */
   markDown(): boolean;
   /** Checks its health once. */
   probe(): Promise<boolean>;
+  /** Notes what the head of an answer said of the server. */
+  noteVerdict(verdict: BackendVerdict): void;
+  /** Load as the server last reported it. */
+  readonly report: ServerReport | undefined;
 }
 
 const PROBE_TIMEOUT_MS = 250;
@@ -61,11 +84,17 @@
   let backend: Backend | undefined;
   let down = false;
   let probes = 0;
+  let report: ServerReport | undefined;
 
   function isOutdated(next: Announcement): boolean {
-    return announced?.boot === next.boot
-      ? next.sequence <= announced.sequence
-      : pastBoots.has(next.boot);
+    if (announced?.boot === next.boot) {
+      return next.sequence < announced.sequence;
+    }
+    if (pastBoots.has(next.boot)) {
+      return true;
+    }
+    return announced?.startedAt !== undefined &&
+      next.startedAt !== undefined && next.startedAt < announced.startedAt;
   }
 
   function connect(next: Announcement): void {
@@ -76,21 +105,40 @@
       connectTimeoutMs: PROBE_TIMEOUT_MS,
     });
     down = false;
+    report = undefined;
+  }
+
+  function noteVerdict(verdict: BackendVerdict): void {
+    report = verdict.report ?? report;
+    if (verdict.coldMs !== undefined) {
+      options.onCold(verdict.coldMs);
+    }
   }
 
-  async function check(target: Backend, at: Announcement): Promise<void> {
+  async function check(target: Backend, at: Announcement): Promise<boolean> {
     const canceller = createCanceller();
     const timeout = timer.after(PROBE_TIMEOUT_MS, canceller.cancel);
     try {
       const answer = await target.send({
         method: "GET",
-        path: at.healthPath,
+        path: options.healthPath() ?? at.healthPath,
         headers: [["host", at.address]],
         body: undefined,
+        requestId: "",
+        caller: "",
+        instance: "",
+        timeLeftMs: PROBE_TIMEOUT_MS,
         timeoutMs: PROBE_TIMEOUT_MS,
         signal: canceller,
       });
       await readAll(answer.body);
+      const { verdict } = answer;
+      const other = verdict?.instance !== undefined &&
+        at.instance !== undefined && verdict.instance !== at.instance;
+      if (verdict && !other && at.boot === announced?.boot) {
+        noteVerdict(verdict);
+      }
+      return !other;
     } finally {
       timeout.cancel();
     }
@@ -114,16 +162,25 @@
         return "outdated";
       }
       const previous = announced;
-      announced = next;
       if (previous?.boot === next.boot) {
+        if (previous.sequence === next.sequence) {
+          return "repeated";
+        }
+        announced = next;
         return "renewed";
       }
+      announced = next;
       if (previous) {
         pastBoots.add(previous.boot);
       }
       connect(next);
       return "new";
     },
+    bar: (boot) => pastBoots.add(boot),
+    get report() {
+      return report;
+    },
+    noteVerdict,
     markDown() {
       const news = !down;
       down = true;
@@ -136,7 +193,9 @@
       }
       probes++;
       try {
-        await check(target, announced);
+        if (!await check(target, announced)) {
+          return false;
+        }
       } catch {
         return false;
       }
--- a/src/http/admin_api.ts
+++ b/src/http/admin_api.ts
@@ -11,15 +11,15 @@
 import { querySchema } from "../account/events.ts";
 import { actionSchema, type ChangeResult } from "../control/commands.ts";
 import type { Control } from "../control/control.ts";
+import { submitChange } from "../control/submission.ts";
 import { errorMessage, StepError } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
-import { sleep, type Timer } from "../time/timer.ts";
+import type { Timer } from "../time/timer.ts";
 import { readLimited } from "./body.ts";
 import { closeHttp, createHttpServer, listenHttp, sendJson } from "./server.ts";
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const CHANGE_TIMEOUT_MS = 8_000;
-const CHANGE_RETRY_MS = 150;
 const MAX_HISTORY_ROWS = 500;
 
 /** An operator and what the operator may change. */
@@ -112,31 +112,6 @@
     return undefined;
   }
 
-  /** Proposes until there is a result; the change id makes that harmless. */
-  async function propose(
-    operator: Operator,
-    body: z.infer<typeof changeRequestSchema>,
-  ): Promise<ChangeResult | undefined> {
-    const deadline = timer.now() + CHANGE_TIMEOUT_MS;
-    while (timer.now() < deadline) {
-      const reply = await control.change({
-        kind: "change",
-        changeId: body.change_id,
-        operator: operator.name,
-        teams: operator.teams,
-        against: body.against,
-        force: body.force,
-        wallTime: timer.wallTime(),
-        action: body.action,
-      });
-      if (reply.kind === "done") {
-        return reply.value;
-      }
-      await sleep(timer, CHANGE_RETRY_MS);
-    }
-    return undefined;
-  }
-
   async function change(
     request: IncomingMessage,
     response: ServerResponse,
@@ -161,7 +136,13 @@
       sendJson(response, 400, { error: z.prettifyError(parsed.error) });
       return;
     }
-    const result = await propose(operator, parsed.data);
+    const { change_id: changeId, ...asked } = parsed.data;
+    const result = await submitChange({
+      changeId,
+      operator: operator.name,
+      teams: operator.teams,
+      ...asked,
+    }, { control, timer, timeoutMs: CHANGE_TIMEOUT_MS });
     if (!result) {
       sendJson(response, 503, {
         error: "no quorum answered; the change may still be accepted: " +
@@ -171,8 +152,8 @@
     }
     logger.info("admin.change", {
       operator: operator.name,
-      change_id: parsed.data.change_id,
-      action: parsed.data.action.kind,
+      change_id: changeId,
+      action: asked.action.kind,
       result: result.kind,
       version: result.version,
     });
--- a/src/http/caller_front.ts
+++ b/src/http/caller_front.ts
@@ -4,15 +4,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  ATTEMPTS_HEADER,
-  endToEnd,
-  type HeaderList,
-  OUTCOME_HEADER,
-  REASON_HEADER,
-  REQUEST_ID_HEADER,
-  SERVER_HEADER,
-} from "../core/headers.ts";
+import { endToEnd, type HeaderList } from "../core/headers.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields, StepError } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
@@ -21,11 +13,11 @@
 import type { Node } from "../node/node.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import { readBody } from "./body.ts";
+import { type CallerDialect, PlainCallerDialect } from "./dialect.ts";
 import { closeHttp, createHttpServer, listenHttp, sendText } from "./server.ts";
 
 /** Path at which a node says whether it takes calls. */
 export const HEALTH_PATH = "/_mustardcross/health";
-const MAX_REASON_LENGTH = 200;
 const MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
 const BODILESS_STATUSES = new Set([204, 304]);
 
@@ -46,6 +38,8 @@
   timer: Timer;
   random: Random;
   logger: Logger;
+  /** How callers' HTTP names things; the product's own by default. */
+  dialect?: CallerDialect;
 }
 
 function headersOf(request: IncomingMessage): HeaderList {
@@ -57,11 +51,6 @@
   return headers;
 }
 
-/** Header values may hold only visible characters. */
-function headerText(text: string): string {
-  return text.replace(/[^\x20-\x7e]/g, " ").slice(0, MAX_REASON_LENGTH);
-}
-
 /** Resolves once a response takes more, or is closed. */
 function drained(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
@@ -78,26 +67,26 @@
 /** Creates the HTTP front of a node. */
 export function createCallerFront(options: CallerFrontOptions): CallerFront {
   const { node, timer, random, logger } = options;
+  const dialect = options.dialect ?? new PlainCallerDialect();
   let stopping = false;
 
   async function callOf(
     request: IncomingMessage,
     signal: Cancellation,
   ): Promise<Call> {
-    const headers = endToEnd(headersOf(request));
-    const given = request.headers[REQUEST_ID_HEADER];
-    const requestId = typeof given === "string" && /^[\w.-]{1,64}$/.test(given)
+    const notes = dialect.read(endToEnd(headersOf(request)));
+    const given = notes.requestId;
+    const requestId = given !== undefined && /^[\w.-]{1,64}$/.test(given)
       ? given
       : random.identifier();
     const declared = request.headers["content-length"];
     return {
       requestId,
       method: request.method ?? "GET",
+      host: request.headers.host ?? "",
       path: request.url ?? "/",
-      headers: [
-        ...headers.filter(([name]) => name !== REQUEST_ID_HEADER),
-        [REQUEST_ID_HEADER, requestId],
-      ],
+      timeoutMs: notes.timeoutMs,
+      headers: notes.headers,
       body: await readBody(request),
       bodyLength: declared === undefined ? undefined : Number(declared),
       signal,
@@ -109,29 +98,21 @@
     call: Call,
     reply: Reply,
   ): void {
+    const head = dialect.head(reply, call.requestId);
     const whole = reply.body instanceof Uint8Array;
     const bodiless = call.method === "HEAD" ||
-      BODILESS_STATUSES.has(reply.status);
-    const headers = reply.headers.filter(([name]) =>
+      BODILESS_STATUSES.has(head.status);
+    const headers = head.headers.filter(([name]) =>
       name !== "content-length" || !whole || bodiless
     );
     if (whole && !bodiless) {
       const { length } = reply.body as Uint8Array;
       headers.push(["content-length", String(length)]);
     }
-    headers.push([REQUEST_ID_HEADER, call.requestId]);
-    headers.push([OUTCOME_HEADER, reply.outcome]);
-    headers.push([ATTEMPTS_HEADER, String(reply.attempts)]);
-    if (reply.reason) {
-      headers.push([REASON_HEADER, headerText(reply.reason)]);
-    }
-    if (reply.server) {
-      headers.push([SERVER_HEADER, reply.server]);
-    }
     if (stopping) {
       headers.push(["connection", "close"]);
     }
-    response.writeHead(reply.status, headers.flat());
+    response.writeHead(head.status, headers.flat());
   }
 
   async function writeStream(
@@ -207,6 +188,14 @@
     });
   });
 
+  node.directory.onChange(() => {
+    const limits = node.directory.global?.limits.callers;
+    if (limits) {
+      server.keepAliveTimeout = limits.idle_ms;
+      server.headersTimeout = limits.header_ms;
+    }
+  });
+
   return {
     listen: (address) => listenHttp(server, address),
     async stop(lingerMs) {
--- a/src/http/local_api.ts
+++ b/src/http/local_api.ts
@@ -89,7 +89,8 @@
     }
     const { health_path: healthPath, ...rest } = body;
     const result = await node.announce({ ...rest, healthPath });
-    sendJson(response, result === "outdated" ? 409 : 200, { result });
+    const taken = result === "new" || result === "renewed";
+    sendJson(response, taken ? 200 : 409, { result });
   }
 
   async function leave(
--- a/src/ingress/call.ts
+++ b/src/ingress/call.ts
@@ -10,8 +10,13 @@
 export interface Call {
   requestId: string;
   method: string;
+  /** Host that the caller names; empty if it names none. */
+  host: string;
   /** Path with query. */
   path: string;
+  /** Longest time that the caller waits, in milliseconds. */
+  timeoutMs: number | undefined;
+  /** Headers that the backend server gets. */
   headers: HeaderList;
   /** Whole body, or a stream of a longer one. */
   body: Uint8Array | AsyncIterable<Uint8Array>;
@@ -31,6 +36,8 @@
   outcome: Outcome;
   /** Why there is no answer of a backend server; else empty. */
   reason: string;
+  /** Time after which a refused request may find a place, in milliseconds. */
+  retryAfterMs?: number;
   attempts: number;
   /** Backend server that answered; else empty. */
   server: string;
@@ -68,6 +75,7 @@
     body: textBody(`not run: ${reason}`),
     outcome: "not_run",
     reason,
+    retryAfterMs: options.retryAfterMs,
     attempts: options.attempts,
     server: "",
   };
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -7,15 +7,26 @@
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { StepError } from "../core/errors.ts";
 import type { AttemptId, FenceState } from "../network/frames.ts";
-import type { Budget } from "./budget.ts";
+import type { ServiceBudgets } from "./budget.ts";
 import { notRunReply, type Reply, unknownReply } from "./call.ts";
 import type { ExchangeEnd, ReceivedAnswer } from "./exchange.ts";
 import type { IngressParts, RoutedCall } from "./ingress.ts";
 
+/** An attempt that certainly did not run. */
+interface NotRun {
+  kind: "not_run";
+  cause: string;
+  retryAfterMs: number;
+  /** Whether no other backend server may run the request either. */
+  final: boolean;
+  /** Whether the backend server got the request, and turned it away. */
+  reached: boolean;
+}
+
 /** How one attempt ended, as far as can be known. */
 export type AttemptEnd =
   | { kind: "answer"; received: ReceivedAnswer; member: Member }
-  | { kind: "not_run"; cause: string; retryAfterMs: number; final: boolean }
+  | NotRun
   | { kind: "unknown"; cause: string; crashed: boolean };
 
 /** An attempt that the backend server answered. */
@@ -23,8 +34,7 @@
 
 /** What attempts of an ingress share. */
 export interface DispatchBudgets {
-  retryBudget: Budget;
-  hedgeBudget: Budget;
+  budgets: ServiceBudgets;
   /** Returns the next attempt order of this ingress. */
   nextOrder: () => number;
 }
@@ -36,6 +46,8 @@
 
 const FIRST_SERVER_ERROR = 500;
 const MIN_HEDGE_DELAY_MS = 2;
+/** Guards that may refuse a request, which costs no backend server anything. */
+const MAX_REFUSALS = 4;
 const MEDIAN = 0.5;
 
 /** Turns an answer into the reply to the caller. */
@@ -103,8 +115,15 @@
   }
   return conclude(end);
 
-  function notRun(cause: string, retryAfterMs = 0, final = false): AttemptEnd {
-    return { kind: "not_run", cause, retryAfterMs, final };
+  function notRun(cause: string, more: Partial<NotRun> = {}): AttemptEnd {
+    return {
+      kind: "not_run",
+      cause,
+      retryAfterMs: 0,
+      final: false,
+      reached: false,
+      ...more,
+    };
   }
 
   function conclude(last: ExchangeEnd): AttemptEnd {
@@ -123,15 +142,16 @@
     if (last.kind === "refused") {
       finish(undefined);
       hints.report(member.server, load);
-      return notRun(
-        last.reason,
-        last.retryAfterMs,
-        last.reason === "quarantined",
-      );
+      return notRun(last.reason, {
+        retryAfterMs: last.retryAfterMs,
+        final: last.reason === "quarantined",
+        reached: last.reason === "shed",
+      });
     }
     if (last.kind === "failed") {
       finish({ latencyMs, ok: false, load });
-      return last.outcome === "not_run" ? notRun(last.cause) : {
+      const { reached } = last;
+      return last.outcome === "not_run" ? notRun(last.cause, { reached }) : {
         kind: "unknown",
         cause: last.cause,
         crashed: last.crashed,
@@ -172,8 +192,10 @@
     return { source: incarnation, order: budgets.nextOrder() };
   }
 
-  function maxAttempts(): number {
-    return directory.global?.limits.retry.max_attempts ?? 1;
+  /** Backend servers that a request may reach. */
+  function maxReached({ settings }: RoutedCall): number {
+    return settings.max_attempts ??
+      directory.global?.limits.retry.max_attempts ?? 1;
   }
 
   function crashLimit(): number {
@@ -206,10 +228,15 @@
   /** Makes an attempt, and a second one elsewhere if the first is slow. */
   async function attemptHedged(
     routed: RoutedCall,
-    first: { member: Member; suspect: boolean; tried: Set<string> },
+    first: {
+      member: Member;
+      suspect: boolean;
+      tried: Set<string>;
+      mayHedge: boolean;
+    },
   ): Promise<AttemptEnd> {
-    const { member, suspect, tried } = first;
-    const delayMs = suspect ? undefined : hedgeDelay(routed);
+    const { member, suspect, tried, mayHedge } = first;
+    const delayMs = suspect || !mayHedge ? undefined : hedgeDelay(routed);
     const { signal } = routed.call;
     if (delayMs === undefined) {
       return await attemptAt(parts, {
@@ -238,7 +265,8 @@
     const other = firstEnded
       ? undefined
       : parts.choose(routed.route.service, new Set([...tried, member.server]));
-    if (!firstEnded && other && budgets.hedgeBudget.take()) {
+    const hedge = budgets.budgets.of(routed.route.service).hedge;
+    if (!firstEnded && other && hedge.take()) {
       metrics.count("hedges");
       recorder.record({
         kind: "hedge",
@@ -325,13 +353,13 @@
   }
 
   function retryable(end: AttemptEnd, routed: RoutedCall): boolean {
+    const { retry } = budgets.budgets.of(routed.route.service);
     if (end.kind === "not_run") {
-      return !end.final;
+      return !end.final && (!end.reached || retry.take());
     }
     const failed = end.kind === "unknown" ||
       end.received.answer.status >= FIRST_SERVER_ERROR;
-    return failed && routed.settings.repeatable &&
-      budgets.retryBudget.take();
+    return failed && routed.settings.repeatable && retry.take();
   }
 
   async function run(routed: RoutedCall): Promise<Reply> {
@@ -343,7 +371,12 @@
     let last: AttemptEnd | undefined;
     let answered: AnswerEnd | undefined;
     let attempts = 0;
-    while (attempts < maxAttempts() && timer.now() < deadlineAt) {
+    let reached = 0;
+    const most = maxReached(routed);
+    while (
+      reached < most && attempts < most + MAX_REFUSALS &&
+      timer.now() < deadlineAt
+    ) {
       const member = parts.choose(route.service, tried);
       if (!member || call.signal.cancelled) {
         break;
@@ -363,8 +396,10 @@
           member,
           suspect: crashes > 0,
           tried,
+          mayHedge: reached + 2 <= most,
         });
       last = end;
+      reached += end.kind === "not_run" && !end.reached ? 0 : 1;
       if (end.kind === "answer") {
         discard(answered);
         answered = end;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -7,14 +7,14 @@
 import type { Recorder } from "../account/events.ts";
 import { type Candidate, createPolicy, type Policy } from "../choosing/mod.ts";
 import type { Claim, ClaimResult, Member } from "../control/commands.ts";
-import { headerValue, KEY_HEADER, TIMEOUT_HEADER } from "../core/headers.ts";
+import { headerValue, KEY_HEADER } from "../core/headers.ts";
 import type { Random } from "../core/random.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import type { Attempt, Outcome } from "../network/frames.ts";
 import type { Directory, FoundRoute } from "../node/directory.ts";
 import type { Timer } from "../time/timer.ts";
-import type { Route, Service } from "../settings/site.ts";
-import { createRatioBudget } from "./budget.ts";
+import type { RoutePolicy, Service } from "../settings/site.ts";
+import { createServiceBudgets } from "./budget.ts";
 import { type Call, notRunReply, type Reply, unknownReply } from "./call.ts";
 import { createDispatcher } from "./dispatch.ts";
 import type { Exchanger } from "./exchange.ts";
@@ -49,6 +49,8 @@
   domain: string;
   /** Peer address of this node, or empty if it takes no channels. */
   peerAddress: string;
+  /** Service of the VM where requests begin; empty if there is none. */
+  caller: () => string;
   /** Incarnation of this ingress; a restart gives a new one. */
   incarnation: string;
   directory: Directory;
@@ -70,7 +72,7 @@
 export interface RoutedCall {
   call: Call;
   route: FoundRoute;
-  settings: Route;
+  settings: RoutePolicy;
   service: Service;
   tenant: string;
   fingerprint: string;
@@ -184,8 +186,10 @@
       from: options.peerAddress,
       requestId: call.requestId,
       service: route.service,
+      caller: options.caller(),
       class: settings.class,
       tenant,
+      rank: settings.rank,
       repeatable: settings.repeatable,
       timeLeftMs: Math.max(0, deadlineAt - timer.now()),
       method: call.method,
@@ -199,25 +203,22 @@
   }
 
   const parts: IngressParts = { ...options, hints, choose, attemptFrame };
-  const retryBudget = createRatioBudget(() =>
-    directory.global?.limits.retry.budget_ratio ?? 0
-  );
-  const hedgeBudget = createRatioBudget(() =>
-    directory.global?.limits.retry.hedge_budget_ratio ?? 0
-  );
+  const budgets = createServiceBudgets(() => ({
+    retry: directory.global?.limits.retry,
+    fleetSize: directory.fleetSize,
+  }));
   const dispatcher = createDispatcher(parts, {
-    retryBudget,
-    hedgeBudget,
+    budgets,
     nextOrder: () => order++,
   });
   const keyedCalls = createKeyedCalls(parts);
 
-  function timeoutOf(call: Call, settings: Route): number {
-    const asked = Number(headerValue(call.headers, TIMEOUT_HEADER));
-    const valid = Number.isFinite(asked) && asked > 0;
-    return valid
-      ? Math.min(asked, settings.deadline_ms, LONGEST_TIMEOUT_MS)
-      : settings.deadline_ms;
+  function timeoutOf(call: Call, settings: RoutePolicy): number {
+    return Math.min(
+      call.timeoutMs ?? Infinity,
+      settings.deadline_ms,
+      LONGEST_TIMEOUT_MS,
+    );
   }
 
   function tenantOf(call: Call): string {
@@ -228,7 +229,12 @@
 
   async function find(call: Call): Promise<RoutedCall | Reply> {
     const path = call.path.split("?")[0];
-    const route = directory.route(call.method, path);
+    const route = directory.route({
+      method: call.method,
+      host: call.host,
+      path,
+      draw: random.fraction,
+    });
     if (!directory.global) {
       return notRunReply("not_ready");
     }
@@ -277,8 +283,7 @@
       return refused;
     }
     const key = headerValue(routed.call.headers, KEY_HEADER);
-    retryBudget.deposit();
-    hedgeBudget.deposit();
+    budgets.of(routed.route.service).deposit();
     return key && routed.settings.key !== "none"
       ? await keyedCalls.run(routed, key)
       : await dispatcher.run(routed);
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -25,8 +25,13 @@
   allowed: z.number(),
   queued: z.number(),
   version: z.number(),
+  slowness: z.number(),
 });
-/** Load of a backend server as its guard knows it. */
+
+/**
+ * Load of a backend server as its guard knows it. `slowness`: time that work
+ * takes there at present, as a multiple of the usual.
+ */
 export type Load = z.infer<typeof loadSchema>;
 
 /** What is known of an attempt: it ran, it did not, or nobody can tell. */
@@ -70,8 +75,10 @@
   from: z.string(),
   requestId: z.string(),
   service: z.string(),
+  caller: z.string(),
   class: z.string(),
   tenant: z.string(),
+  rank: z.number(),
   repeatable: z.boolean(),
   timeLeftMs: z.number(),
   method: z.string(),
@@ -84,7 +91,7 @@
 });
 /**
  * Asks a guard to run a request. `from` is the peer address of the sender's
- * own node, or empty. `streaming`: `data` frames follow.
+ * own node, or empty. `caller` is the service of the VM where it began. `streaming`: `data` frames follow.
  */
 export type Attempt = z.infer<typeof attemptSchema>;
 
@@ -116,9 +123,12 @@
   outcome: outcomeSchema,
   cause: z.string(),
   crashed: z.boolean(),
+  reached: z.boolean(),
   load: loadSchema,
 });
-/** The attempt ended without an answer. */
+/**
+ * The attempt ended without an answer. `reached`: the backend server got it.
+ */
 export type Failed = z.infer<typeof failedSchema>;
 
 /** What a guard knows of an attempt that it is asked to fence. */
--- a/src/node/control_client.ts
+++ b/src/node/control_client.ts
@@ -12,6 +12,10 @@
   addresses(): string[];
   /** Moves on to another replica for news. */
   skipReplica(): void;
+  /** Takes over which replicas there are at present. */
+  noteReplicas(addresses: readonly string[]): void;
+  /** Takes over addresses at which to begin, from changed settings. */
+  setSeeds(addresses: readonly string[]): void;
   /** Takes over a hint about who leads. */
   noteLeader(address: string): void;
   /**
@@ -28,22 +32,33 @@
 export interface ControlClientOptions {
   rpc: Rpc;
   timer: Timer;
+  /** Addresses of some or all replicas, to begin with. */
   addresses: readonly string[];
   /** Index of the replica to ask first, so that nodes spread. */
   first: number;
 }
 
-const CALL_TIMEOUT_MS = 1_500;
+const CALL_TIMEOUT_MS = 700;
 const RETRY_PAUSE_MS = 100;
 
 /** Creates a client of control. */
 export function createControlClient(
   options: ControlClientOptions,
 ): ControlClient {
-  const { rpc, timer, addresses } = options;
+  const { rpc, timer } = options;
+  let seeds = options.addresses;
+  let replicas: readonly string[] = [];
+  let addresses = seeds;
   let current = options.first % addresses.length;
   let leader = "";
 
+  /** Asks replicas that are known to exist first, and seeds after them. */
+  function refresh(): void {
+    const asked = addresses[current];
+    addresses = [...new Set([...replicas, ...seeds])];
+    current = Math.max(0, addresses.indexOf(asked));
+  }
+
   function rotated(): string[] {
     return [...addresses.slice(current), ...addresses.slice(0, current)];
   }
@@ -53,6 +68,16 @@
     skipReplica() {
       current = (current + 1) % addresses.length;
     },
+    noteReplicas(next) {
+      if (next.join() !== replicas.join()) {
+        replicas = next;
+        refresh();
+      }
+    },
+    setSeeds(next) {
+      seeds = next;
+      refresh();
+    },
     noteLeader(address) {
       leader = address;
     },
--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -12,12 +12,30 @@
   ServiceView,
   View,
 } from "../control/view.ts";
-import type { Route, Service } from "../settings/site.ts";
+import type { RoutePolicy, Service } from "../settings/site.ts";
+import {
+  createPrefixTable,
+  pickTarget,
+  type PrefixTable,
+} from "./prefix_table.ts";
 
 /** A route that a request takes. */
 export interface FoundRoute {
   service: string;
   name: string;
+  /** Settings, where the site holds them and not the service. */
+  policy?: RoutePolicy;
+}
+
+/** What of a request decides about its route. */
+export interface RouteQuery {
+  method: string;
+  /** Host that the caller names; empty if it names none. */
+  host: string;
+  /** Path without its query. */
+  path: string;
+  /** Draws a number from 0 to 1, for routes that several services share. */
+  draw: () => number;
 }
 
 /** What changed in a directory. */
@@ -44,12 +62,16 @@
   export(services: readonly string[]): View;
   /** Returns the view of a subscribed service. */
   service(name: string): ServiceView | undefined;
+  /** Number of backend servers at the site, 0 while it is unknown. */
+  readonly fleetSize: number;
+  /** Notes how many backend servers there are at the site. */
+  noteFleetSize(size: number): void;
   /** Finds the route for a request. */
-  route(method: string, path: string): FoundRoute | undefined;
+  route(query: RouteQuery): FoundRoute | undefined;
   /** Returns a service's settings and one of its routes. */
   routeSettings(
     route: FoundRoute,
-  ): { service: Service; route: Route } | undefined;
+  ): { service: Service; route: RoutePolicy } | undefined;
   /** Whether a member takes new work as far as is known. */
   inService(member: Member): boolean;
   /** Whether a failure domain is out. */
@@ -76,6 +98,8 @@
   let global: GlobalView | undefined;
   let routeTable: RouteTable | undefined;
   let router: Router | undefined;
+  let prefixes: PrefixTable | undefined;
+  let fleetSize = 0;
   let domainsOut = new Set<string>();
   let serversOut = new Set<string>();
   const services = new Map<string, ServiceView>();
@@ -98,6 +122,7 @@
     }
     routeTable = next;
     router = createRouter(next);
+    prefixes = createPrefixTable(next.prefixes);
     return true;
   }
 
@@ -148,13 +173,24 @@
       services: names.flatMap((name) => services.get(name) ?? []),
     }),
     service: (name) => services.get(name),
-    route(method, path) {
+    get fleetSize() {
+      return fleetSize;
+    },
+    noteFleetSize(size) {
+      fleetSize = size;
+    },
+    route({ method, host, path, draw }) {
+      const site = prefixes?.find(host, path);
+      if (site) {
+        const { service } = pickTarget(site.targets, draw);
+        return { service, name: site.name, policy: site };
+      }
       const found = router?.find(method as "GET", path);
       return found?.store as FoundRoute | undefined;
     },
-    routeSettings({ service, name }) {
+    routeSettings({ service, name, policy }) {
       const settings = services.get(service)?.settings;
-      const route = settings?.routes[name];
+      const route = policy ?? settings?.routes[name];
       return settings && route && { service: settings, route };
     },
     inService: (member) =>
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -6,12 +6,13 @@
 import { createRecorder, type Recorder } from "../account/events.ts";
 import type { Member } from "../control/commands.ts";
 import { claimMethod, settleMethod } from "../control/node_methods.ts";
+import { hashReady } from "../core/hash.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { Supervisor } from "../core/tasks.ts";
 import type { BackendFactory } from "../guard/backend.ts";
 import { createGuard, type Guard } from "../guard/guard.ts";
-import type { Announcement } from "../guard/server_link.ts";
+import type { Announcement, AnnouncementResult } from "../guard/server_link.ts";
 import { createRateBudget } from "../ingress/budget.ts";
 import { createExchanger } from "../ingress/exchange.ts";
 import {
@@ -38,6 +39,8 @@
   region: string;
   /** Where other nodes' attempts are taken. */
   peerAddress: string;
+  /** Service of this VM; by default that of the announced backend server. */
+  service?: string;
   controlAddresses: readonly string[];
   network: Network;
   rpc: Rpc;
@@ -64,8 +67,10 @@
   readonly ready: boolean;
   /** Starts to take attempts and to ask for news. */
   start(): Promise<void>;
+  /** Takes over addresses of control replicas from changed settings. */
+  setControlAddresses(addresses: readonly string[]): void;
   /** Takes an announcement of the backend server. */
-  announce(announcement: Announcement): Promise<"new" | "renewed" | "outdated">;
+  announce(announcement: Announcement): Promise<AnnouncementResult>;
   /** The backend server leaves; resolves once nothing is in flight. */
   leave(boot: string): Promise<boolean>;
   /** First half of a planned stop: says so, and takes no more attempts. */
@@ -169,6 +174,7 @@
     vm,
     domain,
     peerAddress: options.peerAddress,
+    caller: () => options.service ?? guard.announced?.service ?? "",
     incarnation,
     directory,
     exchanger,
@@ -223,7 +229,8 @@
       address: options.peerAddress,
       incarnation,
       boot: announced.boot,
-      slots: directory.service(announced.service)?.settings?.slots ?? 1,
+      slots: announced.slots ??
+        directory.service(announced.service)?.settings?.slots ?? 1,
       leaving: leaving || stopping,
     };
   }
@@ -316,7 +323,9 @@
     get ready() {
       return sync.confirmed && directory.global !== undefined && !stopping;
     },
+    setControlAddresses: client.setSeeds,
     async start() {
+      await hashReady;
       listener = await options.network.listen(options.peerAddress, serve);
       sync.start();
       supervisor.start("node.probe", probeTask);
@@ -354,7 +363,7 @@
     async drain() {
       stopping = true;
       const limits = directory.global?.limits.timeouts;
-      await register();
+      void register();
       // Other ingresses hear of it while this guard still admits.
       await sleep(timer, limits?.linger_ms ?? 0);
       await guard.drain();
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -50,10 +50,10 @@
   onLeaseLost: () => void;
 }
 
-const SYNC_TIMEOUT_MS = 2_500;
+const SYNC_TIMEOUT_MS = 1_000;
 const DEFAULT_INTERVAL_MS = 500;
 /** Staleness past which another replica is asked. */
-const STALE_REPLICA_MS = 2_000;
+const STALE_REPLICA_MS = 1_000;
 const MAX_EVENTS_PER_SYNC = 40;
 const SUBSCRIBE_TIMEOUT_MS = 2_000;
 const PEER_TIMEOUT_MS = 500;
@@ -96,6 +96,8 @@
       return false;
     }
     const { view, stalenessMs, leaseLost, leader } = reply.value;
+    client.noteReplicas(reply.value.replicas);
+    directory.noteFleetSize(reply.value.fleetSize);
     if (leader) {
       client.noteLeader(leader);
     }
--- a/src/process.ts
+++ b/src/process.ts
@@ -3,19 +3,18 @@
  * @module
  */
 import { type Control, createControl } from "./control/control.ts";
+import { errorFields } from "./core/errors.ts";
+import { hashReady } from "./core/hash.ts";
 import type { Logger } from "./core/logger.ts";
 import { createSystemRandom, type Random } from "./core/random.ts";
 import { createSupervisor, type Supervisor } from "./core/tasks.ts";
-import { errorFields } from "./core/errors.ts";
 import { openSystemDisk } from "./disk/system_disk.ts";
+import type { BackendFactory } from "./guard/backend.ts";
 import { createHttpBackend } from "./guard/http_backend.ts";
-import {
-  type AdminApi,
-  createAdminApi,
-  readOperators,
-} from "./http/admin_api.ts";
+import { createAdminApi, readOperators } from "./http/admin_api.ts";
 import { type CallerFront, createCallerFront } from "./http/caller_front.ts";
-import { createLocalApi, type LocalApi } from "./http/local_api.ts";
+import type { CallerDialect } from "./http/dialect.ts";
+import { createLocalApi } from "./http/local_api.ts";
 import { watchEventLoop } from "./metrics/event_loop.ts";
 import { tcpNetwork } from "./network/tcp.ts";
 import { createNode, type Node } from "./node/node.ts";
@@ -33,89 +32,136 @@
   stop(): Promise<void>;
 }
 
-const DEFAULT_LINGER_MS = 1_500;
-const DEFAULT_DRAIN_MS = 30_000;
+/** An interface that is served beside the product's own. */
+export interface Attachment {
+  /** Stops serving. */
+  stop(): Promise<void>;
+}
 
-interface Parts {
+/** What every part of a process shares. */
+export interface ProcessParts {
   timer: Timer;
   random: Random;
   logger: Logger;
   supervisor: Supervisor;
 }
 
+/** What a platform brings in place of, or beside, the product's own. */
+export interface Platform {
+  /** How callers' HTTP names things. */
+  callerDialect?: CallerDialect;
+  /** Clients of backend servers. */
+  createBackend?: BackendFactory;
+  /** Service of this VM, known before its backend server announces itself. */
+  service?: string;
+  /** Serves interfaces of a node; they stop once the node has stopped. */
+  attachNode?(node: Node, parts: ProcessParts): Promise<Attachment>;
+  /** Serves interfaces of a control replica; they stop before the replica. */
+  attachControl?(control: Control, parts: ProcessParts): Promise<Attachment>;
+}
+
+const DEFAULT_LINGER_MS = 1_500;
+const DEFAULT_DRAIN_MS = 30_000;
+
+const NOTHING_ATTACHED: Attachment = { stop: () => Promise.resolve() };
+
 interface NodeRole {
   node: Node;
   front: CallerFront;
-  localApi: LocalApi;
+  attachments: Attachment[];
 }
 
 interface ControlRole {
   control: Control;
-  admin: AdminApi;
+  attachments: Attachment[];
+}
+
+async function startAdmin(
+  role: NonNullable<ProcessSettings["control"]>,
+  options: { control: Control; parts: ProcessParts },
+): Promise<Attachment> {
+  const { admin_address: address, token_file: tokenFile } = role;
+  if (!address || !tokenFile) {
+    return NOTHING_ATTACHED;
+  }
+  const { control, parts } = options;
+  const operators = readOperators(tokenFile);
+  const admin = createAdminApi({ control, operators, ...parts });
+  const bound = await admin.listen(address);
+  parts.logger.info("control.admin_started", { admin: bound });
+  return admin;
 }
 
 async function startControl(
   settings: ProcessSettings,
-  parts: Parts,
+  options: { parts: ProcessParts; platform: Platform },
 ): Promise<ControlRole | undefined> {
   const role = settings.control;
   if (!role) {
     return undefined;
   }
-  const operators = readOperators(role.token_file);
+  const { parts, platform } = options;
   const control = createControl({
     vm: settings.vm,
     address: role.rpc_address,
     founders: role.founders,
+    mayFound: role.may_found,
     disk: await openSystemDisk(role.data),
     rpc: createGrpcRpc(),
     ...parts,
   });
   await control.start();
-  const admin = createAdminApi({ control, operators, ...parts });
-  const address = await admin.listen(role.admin_address);
-  parts.logger.info("control.started", {
-    rpc: role.rpc_address,
-    admin: address,
-  });
-  return { control, admin };
+  const attachments = [
+    await startAdmin(role, { control, parts }),
+    await platform.attachControl?.(control, parts) ?? NOTHING_ATTACHED,
+  ];
+  parts.logger.info("control.started", { rpc: role.rpc_address });
+  return { control, attachments };
 }
 
 async function startNode(
   settings: ProcessSettings,
-  parts: Parts,
+  options: { parts: ProcessParts; platform: Platform },
 ): Promise<NodeRole | undefined> {
   const role = settings.node;
   if (!role) {
     return undefined;
   }
+  const { parts, platform } = options;
   const node = createNode({
     vm: settings.vm,
     domain: settings.domain,
     region: settings.region,
     peerAddress: role.peer_address,
+    service: platform.service,
     controlAddresses: settings.control_addresses,
     network: tcpNetwork,
     rpc: createGrpcRpc(),
-    createBackend: createHttpBackend,
+    createBackend: platform.createBackend ?? createHttpBackend,
     ...parts,
   });
   await node.start();
   watchEventLoop(node.metrics);
-  const front = createCallerFront({ node, ...parts });
+  const front = createCallerFront({
+    node,
+    dialect: platform.callerDialect,
+    ...parts,
+  });
   const localApi = createLocalApi({ node, ...parts });
   const local = await localApi.listen(role.local_address);
   const callers = await front.listen(role.caller_address);
+  const attachment = await platform.attachNode?.(node, parts) ??
+    NOTHING_ATTACHED;
   parts.logger.info("node.started", {
     callers,
     local,
     peers: node.peerAddress,
   });
-  return { node, front, localApi };
+  return { node, front, attachments: [localApi, attachment] };
 }
 
-async function stopNode(role: NodeRole, parts: Parts): Promise<void> {
-  const { node, front, localApi } = role;
+async function stopNode(role: NodeRole, parts: ProcessParts): Promise<void> {
+  const { node, front, attachments } = role;
   const limits = node.directory.global?.limits.timeouts;
   const drained = Promise.all([
     front.stop(limits?.linger_ms ?? DEFAULT_LINGER_MS),
@@ -131,18 +177,33 @@
     parts.logger.error("node.drain_cut", errorFields(error));
   }
   await node.stop();
-  void localApi.stop();
+  attachments.forEach((attachment) => void attachment.stop());
   parts.logger.info("node.stopped", {});
 }
 
+async function stopControl(
+  role: ControlRole,
+  parts: ProcessParts,
+): Promise<void> {
+  await Promise.all(role.attachments.map((attachment) => attachment.stop()));
+  await role.control.stop();
+  parts.logger.info("control.stopped", {});
+}
+
 /** Starts a process with the roles that its settings name. */
 export async function startProcess(
   settings: ProcessSettings,
-  options: { logger: Logger; timer?: Timer; random?: Random },
+  options: {
+    logger: Logger;
+    timer?: Timer;
+    random?: Random;
+    platform?: Platform;
+  },
 ): Promise<MustardcrossProcess> {
   const timer = options.timer ?? createSystemTimer();
   const logger = options.logger.with({ vm: settings.vm });
-  const parts: Parts = {
+  const { platform = {} } = options;
+  const parts: ProcessParts = {
     timer,
     random: options.random ?? createSystemRandom(),
     logger,
@@ -152,9 +213,9 @@
         logger.error("task.failed", { task, ...errorFields(error) }),
     }),
   };
-  const controlRole = await startControl(settings, parts);
-  const nodeRole = await startNode(settings, parts);
-
+  await hashReady;
+  const controlRole = await startControl(settings, { parts, platform });
+  const nodeRole = await startNode(settings, { parts, platform });
   return {
     node: nodeRole?.node,
     control: controlRole?.control,
@@ -163,9 +224,7 @@
         await stopNode(nodeRole, parts);
       }
       if (controlRole) {
-        await controlRole.admin.stop();
-        await controlRole.control.stop();
-        logger.info("control.stopped", {});
+        await stopControl(controlRole, parts);
       }
       await parts.supervisor.stop();
     },
--- a/src/rpc/grpc_rpc.ts
+++ b/src/rpc/grpc_rpc.ts
@@ -56,6 +56,20 @@
     return client;
   }
 
+  /**
+   * Drops the connection to a peer that did not answer: it may have gone
+   * silent, or wait for a peer that has since come back.
+   */
+  function renew(peer: string, code: status | undefined): void {
+    const client = clients.get(peer);
+    const silent = code === status.DEADLINE_EXCEEDED ||
+      code === status.UNAVAILABLE;
+    if (client && silent) {
+      clients.delete(peer);
+      client.close();
+    }
+  }
+
   function call<Q, R>(call: Call<Q, R>): Promise<Result<R, StepError>> {
     const { peer, method, request, timeoutMs } = call;
     return new Promise((resolve) => {
@@ -67,6 +81,7 @@
         { deadline: Date.now() + timeoutMs },
         (error, value) => {
           if (error) {
+            renew(peer, error.code);
             resolve(
               err(
                 new StepError(`rpc.${method.name}`, error.message, {
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -10,6 +10,7 @@
 import { mergeOverlay, type Source, type Table } from "./merge.ts";
 import { type Mistake, mistakesOf } from "./mistakes.ts";
 import { processSchema, type ProcessSettings } from "./process.ts";
+import { brokenRouteRules } from "./route_rules.ts";
 import { type Site, siteSchema } from "./site.ts";
 
 /** A checked site with the origin of each value. */
@@ -83,36 +84,6 @@
   }));
 }
 
-function checkRoutes(site: Site, fileOf: (key: string) => string): Mistake[] {
-  const owners = new Map<string, string>();
-  const mistakes: Mistake[] = [];
-  for (const [serviceName, service] of Object.entries(site.services)) {
-    for (const [routeName, route] of Object.entries(service.routes)) {
-      const key = `services.${serviceName}.routes.${routeName}`;
-      const pattern = `${route.method} ${route.path}`;
-      const owner = owners.get(pattern);
-      if (owner) {
-        mistakes.push({
-          file: fileOf(`${key}.path`),
-          key: `${key}.path`,
-          found: `"${pattern}", which ${owner} has too`,
-          expected: "each method and path once",
-        });
-      }
-      owners.set(pattern, key);
-      if (route.hedge && !route.repeatable) {
-        mistakes.push({
-          file: fileOf(`${key}.hedge`),
-          key: `${key}.hedge`,
-          found: "true",
-          expected: "false, since the route is not repeatable",
-        });
-      }
-    }
-  }
-  return mistakes;
-}
-
 /** Merges and checks a base file with an optional overlay. */
 export function checkSite(
   base: Source,
@@ -145,7 +116,10 @@
   const mistakes = [
     ...merged.mistakes,
     ...checkDomains(site, fileOf(["domains"])),
-    ...checkRoutes(site, (key) => fileOf(key.split("."))),
+    ...brokenRouteRules(site).map((rule) => ({
+      ...rule,
+      file: fileOf(rule.key.split(".")),
+    })),
   ];
   if (mistakes.length > 0) {
     return err(mistakes);
--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -23,6 +23,8 @@
 const retrySchema = z.strictObject({
   budget_ratio: ratio.default(0.1)
     .describe("Retries of work that may have run, per request"),
+  budget_reserve: z.number().min(0).optional()
+    .describe("Retries and hedges that all nodes together have in reserve"),
   max_attempts: z.number().int().min(1).max(10).default(4)
     .describe("Attempts of one request, the first included"),
   hedge_budget_ratio: ratio.default(0.05)
@@ -53,6 +55,14 @@
     .describe("Time a leaving node goes on taking calls while others hear"),
 });
 
+/** Limits on callers' connections. */
+const callerSchema = z.strictObject({
+  header_ms: milliseconds.default(10_000)
+    .describe("Longest time for a request's headers to arrive"),
+  idle_ms: milliseconds.default(30_000)
+    .describe("Time for which an idle connection stays open"),
+});
+
 /** Limits on run-at-most-once claims. */
 const claimSchema = z.strictObject({
   keep_ms: milliseconds.default(86_400_000)
@@ -69,12 +79,8 @@
     .describe("Time for which a quarantine lasts"),
 });
 
-/** One route of a service. */
-export const routeSchema = z.strictObject({
-  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"])
-    .default("GET"),
-  path: z.string().startsWith("/")
-    .describe("Path pattern in find-my-way's syntax"),
+/** How the requests of a route are treated. */
+export const routePolicySchema = z.strictObject({
   class: z.string().min(1)
     .describe("Name under which latency is shown"),
   repeatable: z.boolean()
@@ -83,14 +89,53 @@
     .describe("Whether callers send an Idempotency-Key"),
   deadline_ms: milliseconds.default(2_000)
     .describe("Longest time for an answer"),
+  objective_ms: milliseconds.optional()
+    .describe("Time within which an answer is worth most"),
+  rank: count.default(0)
+    .describe("Rank when not all can be served; 0 goes first"),
+  max_attempts: z.number().int().min(1).max(10).optional()
+    .describe("Backend servers that one request may reach"),
   hedge: z.boolean().default(false)
     .describe("Whether a slow attempt may be hedged"),
   max_body_bytes: count.default(1_048_576)
     .describe("Largest request body"),
 });
+/** How the requests of a route are treated. */
+export type RoutePolicy = z.infer<typeof routePolicySchema>;
+
+/** One route of a service, found by method and path pattern. */
+export const routeSchema = routePolicySchema.extend({
+  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"])
+    .default("GET"),
+  path: z.string().startsWith("/")
+    .describe("Path pattern in find-my-way's syntax"),
+});
+
 /** One route of a service. */
 export type Route = z.infer<typeof routeSchema>;
 
+const targetSchema = z.strictObject({
+  service: z.string().min(1),
+  weight: z.number().min(0).default(1)
+    .describe("Share of the route's requests, relative to the others"),
+});
+
+/** A service and its share of a route's requests. */
+export type Target = z.infer<typeof targetSchema>;
+
+/** One route of the site, found by host and the longest path prefix. */
+export const prefixRouteSchema = routePolicySchema.extend({
+  host: z.string().min(1).toLowerCase()
+    .describe("Host that callers name, without a port"),
+  prefix: z.string().regex(/^\/(.*\/)?$/)
+    .describe("Path prefix that begins and ends with a slash"),
+  targets: z.array(targetSchema).min(1)
+    .describe("Services that share the requests"),
+});
+
+/** One route of the site. */
+export type PrefixRoute = z.infer<typeof prefixRouteSchema>;
+
 /** One service and how its backend servers are to be treated. */
 export const serviceSchema = z.strictObject({
   team: z.string().min(1).describe("Team that may change the service"),
@@ -98,8 +143,14 @@
     .describe("Requests that one backend server runs at once"),
   connections: z.number().int().positive().default(256)
     .describe("Connections that one backend server accepts"),
+  health_path: z.string().startsWith("/").default("/health")
+    .describe("Path of the health check"),
   cold_limit: z.number().int().positive().default(2)
     .describe("Requests that a cold backend server runs at once"),
+  cold_rate_per_s: z.number().positive().optional()
+    .describe("Requests a second that a cold backend server bears"),
+  cold_ms: milliseconds.optional()
+    .describe("Time for which a started backend server stays cold"),
   ramp_completions: z.number().int().positive().default(12)
     .describe("Timely completions per slot that multiply a cold limit by e"),
   queue_limit: count.default(16)
@@ -110,7 +161,7 @@
     .describe("Multiple of the usual latency that counts as late"),
   shed_means_not_run: z.boolean().default(false)
     .describe("Whether the server's own 503 proves that nothing ran"),
-  routes: z.record(z.string(), routeSchema),
+  routes: z.record(z.string(), routeSchema).default({}),
 });
 /** One service and how its backend servers are to be treated. */
 export type Service = z.infer<typeof serviceSchema>;
@@ -125,9 +176,11 @@
   measuring: measuringSchema.prefault({}),
   retry: retrySchema.prefault({}),
   timeouts: timeoutSchema.prefault({}),
+  callers: callerSchema.prefault({}),
   claims: claimSchema.prefault({}),
   quarantine: quarantineSchema.prefault({}),
-  services: z.record(z.string().regex(/^[a-z][a-z0-9-]*$/), serviceSchema),
+  services: z.record(z.string().regex(/^[a-z0-9][\w.-]*$/i), serviceSchema),
+  routes: z.record(z.string(), prefixRouteSchema).default({}),
 });
 /** A whole site, with every default filled in. */
 export type Site = z.infer<typeof siteSchema>;
--- a/tests/http/front_test.ts
+++ b/tests/http/front_test.ts
@@ -115,6 +115,7 @@
       admin_address: `${HOST}:${admin}`,
       token_file: join(folder, "tokens"),
       data: join(folder, "data"),
+      may_found: true,
       founders: { vm1: `${HOST}:${rpc}` },
     },
     node: {
--- a/tests/scenario/late_frames_test.ts
+++ b/tests/scenario/late_frames_test.ts
@@ -17,6 +17,8 @@
     from: "",
     requestId: "late1",
     service: SERVICE,
+    caller: "",
+    rank: 0,
     class: "pay",
     tenant: "default",
     repeatable: false,
--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -264,7 +264,9 @@
       void vmNamed(via).node.ingress.handle({
         requestId,
         method,
+        host: "",
         path,
+        timeoutMs: undefined,
         headers,
         body: bytes,
         bodyLength: bytes.length,
