--- a/src/control/entrance.ts
+++ b/src/control/entrance.ts
@@ -12,6 +12,8 @@
 import { helloMethod } from "./methods.ts";
 
 const PAUSE_MS = 200;
+/** Time for which further answers are waited for, once enough have come. */
+const LATE_HELLO_MS = 60;
 
 /** Options of {@link enterCluster}. */
 export interface EntranceOptions {
@@ -66,26 +68,55 @@
     return Object.keys(founders).find((name) => founders[name] === address);
   }
 
-  async function greet(addresses: string[]): Promise<Hello[]> {
+  async function greetOne(peer: string): Promise<Hello | undefined> {
     const last = recovered.entries.at(-1)?.index ??
       recovered.snapshot?.index ?? 0;
-    const replies = await Promise.all(addresses.map((peer) =>
-      rpc.call({
-        peer,
-        method: helloMethod,
-        request: {
-          identity: recovered.identity?.identity ?? "",
-          lastIndex: last,
-          term: recovered.vote.term,
-        },
-        timeoutMs: options.callMs,
-      })
-    ));
-    const hellos = replies.flatMap((reply) =>
-      reply.isOk() ? [reply.value] : []
-    );
-    hellos.forEach((hello) => options.onMembers(hello.members));
-    return hellos;
+    const reply = await rpc.call({
+      peer,
+      method: helloMethod,
+      request: {
+        identity: recovered.identity?.identity ?? "",
+        lastIndex: last,
+        term: recovered.vote.term,
+      },
+      timeoutMs: options.callMs,
+    });
+    if (reply.isErr()) {
+      return undefined;
+    }
+    options.onMembers(reply.value.members);
+    return reply.value;
+  }
+
+  /**
+   * Greets peers; resolves once all have answered or failed, or a short time
+   * after enough of them have answered.
+   */
+  function greet(
+    addresses: string[],
+    enough = addresses.length,
+  ): Promise<Hello[]> {
+    const hellos: Hello[] = [];
+    let open = addresses.length;
+    return new Promise((resolve) => {
+      function conclude(): void {
+        if (open === 0) {
+          resolve(hellos);
+        } else if (hellos.length === enough) {
+          timer.after(LATE_HELLO_MS, () => resolve([...hellos]));
+        }
+      }
+      conclude();
+      for (const address of addresses) {
+        void greetOne(address).then((hello) => {
+          open--;
+          if (hello) {
+            hellos.push(hello);
+          }
+          conclude();
+        });
+      }
+    });
   }
 
   async function becomeLearner(cause: string): Promise<Entrance> {
@@ -143,7 +174,7 @@
       Math.max(1, Math.floor(voters.length / 2)),
     );
     while (!signal.aborted) {
-      const hellos = await greet([...others]);
+      const hellos = await greet([...others], needed);
       if (hellos.some((hello) => hello.rolledBack)) {
         return await becomeLearner("the disk was rolled back");
       }
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import { errorFields } from "../core/errors.ts";
+import { CorruptionError, errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createSerial, type Supervisor } from "../core/tasks.ts";
@@ -135,6 +135,10 @@
   stalenessMs(): number;
 }
 
+/** Pause before a replica whose disk failed reads it again. */
+const REOPEN_MS = 1_000;
+/** Longest wait for a leader after entering, in election timeouts. */
+const ENTERING_PATIENCE = 0.5;
 const NO_MEMBERS: Membership = { voters: [], learners: [] };
 
 /** Creates a replica. */
@@ -158,6 +162,7 @@
   let leadership: Leadership | undefined;
   let lastHeard = -Infinity;
   let failure = "";
+  let justEntered = false;
 
   function self(): ReplicaInfo {
     return { identity, vm, address };
@@ -183,6 +188,27 @@
     failure = String(errorFields(error).error);
     stepDown("disk");
     role = "failed";
+    if (!(error instanceof CorruptionError)) {
+      supervisor.start("replica.reopen", reopenTask);
+    }
+  }
+
+  /**
+   * Begins anew with what the disk holds. Whatever was not made durable is
+   * gone from memory too, so that nothing is told that the disk may lack.
+   */
+  async function reopenTask(): Promise<void> {
+    await sleep(timer, REOPEN_MS, { signal });
+    if (signal.aborted) {
+      return;
+    }
+    role = "starting";
+    try {
+      await enter();
+      failure = "";
+    } catch (error) {
+      fail(error);
+    }
   }
 
   function stepDown(cause: string): void {
@@ -410,14 +436,26 @@
     leadership.begin();
   }
 
+  /**
+   * Election timeouts to wait for a leader. A replica that has just entered
+   * waits less: if there is a leader, its followers deny the first question,
+   * and after a power loss there is none.
+   */
+  function patience(): number {
+    return justEntered
+      ? ENTERING_PATIENCE * random.fraction()
+      : 1 + random.fraction();
+  }
+
   async function electionTask(): Promise<void> {
     while (!signal.aborted) {
-      const waitMs = tuning.electionMs * (1 + random.fraction());
+      const waitMs = tuning.electionMs * patience();
       const since = Math.max(lastHeard, electionBase);
       const remaining = since + waitMs - timer.now();
       await sleep(timer, Math.max(remaining, tuning.heartbeatMs), { signal });
       const silent = timer.now() - Math.max(lastHeard, electionBase) >= waitMs;
       if (role === "follower" && isVoter() && silent) {
+        justEntered = false;
         await campaign(false);
         electionBase = timer.now();
       }
@@ -472,6 +510,7 @@
       openLog(await store.recover());
     }
     role = isVoter() ? "follower" : "learner";
+    justEntered = entrance.kind === "vouched";
     electionBase = timer.now();
     logger.info("replica.entered", { identity, role, term: vote.term });
   }
--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -10,6 +10,9 @@
 import type { Warmup } from "./warmup.ts";
 import { createFairQueue, type Waiting } from "./queue.ts";
 
+/** Share of the usual time that a request takes at least. */
+const LEAST_SHARE = 0.6;
+
 /** Limits of admission. */
 export interface AdmissionLimits {
   /** Connections that the backend server accepts. */
@@ -27,6 +30,10 @@
   rank: number;
   /** Monotonic time by which it must have been answered. */
   deadlineAt: number;
+  /** Monotonic time by which an answer is worth most, if there is one. */
+  objectiveAt?: number;
+  /** Time that such a request usually takes, in milliseconds; 0 if unknown. */
+  usualMs?: number;
   /** Whether it must run with nothing beside it. */
   alone: boolean;
   /** Cancelled when nobody waits for the request any more. */
@@ -65,12 +72,14 @@
   timer: Timer;
   /** The warm-up that is in force. */
   warmup: () => Warmup;
+  /** Whether work that usually takes some time had better wait. */
+  holds?: (usualMs: number) => boolean;
   limits: AdmissionLimits;
 }
 
 /** Creates admission with nothing running. */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const { timer, warmup } = options;
+  const { timer, warmup, holds = () => false } = options;
   let { limits } = options;
   const queue = createFairQueue();
   const lonely: Waiting[] = [];
@@ -126,7 +135,11 @@
       return;
     }
     while (queue.size > 0 && hasRoom()) {
-      queue.take(runningOf)!.start();
+      const next = queue.take(runningOf);
+      if (!next) {
+        break;
+      }
+      next.start();
     }
     pumpAfterPause();
   }
@@ -152,7 +165,9 @@
   function wait(applicant: Applicant): Promise<Verdict> {
     return new Promise((resolve) => {
       const { tenant, rank, deadlineAt, alone, signal } = applicant;
-      const longest = Math.min(limits.queueWaitMs, deadlineAt - timer.now());
+      const usualMs = applicant.usualMs ?? 0;
+      const startBy = deadlineAt - usualMs * LEAST_SHARE;
+      const longest = Math.min(limits.queueWaitMs, startBy - timer.now());
       const timeout = timer.after(longest, () => {
         remove();
         waiting.refuse();
@@ -178,6 +193,9 @@
         tenant,
         rank,
         deadlineAt,
+        inTime: () =>
+          timer.now() + usualMs <= (applicant.objectiveAt ?? Infinity),
+        fits: () => !holds(usualMs),
         start: () => finish({ kind: "admitted", place: occupy(applicant) }),
         refuse: () => finish({ kind: "refused", reason: refusalReason }),
       };
@@ -209,12 +227,13 @@
       if (applicant.signal.cancelled) {
         return Promise.resolve({ kind: "refused", reason: "cancelled" });
       }
-      if (applicant.deadlineAt <= timer.now()) {
+      const usualMs = applicant.usualMs ?? 0;
+      if (applicant.deadlineAt - timer.now() <= usualMs * LEAST_SHARE) {
         return Promise.resolve({ kind: "refused", reason: "no_time" });
       }
       const free = applicant.alone
         ? inFlight === 0 && lonely.length === 0
-        : hasRoom() && queue.size === 0;
+        : hasRoom() && queue.size === 0 && !holds(usualMs);
       if (free) {
         const place = occupy(applicant);
         return Promise.resolve({ kind: "admitted", place });
--- a/src/guard/backend.ts
+++ b/src/guard/backend.ts
@@ -22,8 +22,6 @@
   instance: string;
   /** Time that is left for the request, in milliseconds. */
   timeLeftMs: number;
-  /** Longest time until the answer's head, in milliseconds. */
-  timeoutMs: number;
   /** Cancels the request. */
   signal: Cancellation;
 }
--- /dev/null
+++ b/src/guard/cold_rate_test.ts
@@ -0,0 +1,52 @@
+import { test } from "tap";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import { neverCancelled } from "../core/cancellation.ts";
+import { createAdmission } from "./admission.ts";
+import { createColdRate } from "./cold_rate.ts";
+
+const LIMITS = { perSecond: 5, coldMs: 3_000, slots: 50 };
+
+test("a cold server starts no more than its rate in any second", async (t) => {
+  const timer = createFakeTimer();
+  const rate = createColdRate(timer, () => LIMITS);
+  const admission = createAdmission({
+    timer,
+    warmup: () => rate,
+    limits: { connections: 50, queueLimit: 100, queueWaitMs: 10_000 },
+  });
+  rate.reset();
+  const starts: number[] = [];
+  for (let count = 0; count < 40; count++) {
+    void admission.admit({
+      tenant: "a",
+      rank: 0,
+      deadlineAt: timer.now() + 10_000,
+      alone: false,
+      signal: neverCancelled,
+    }).then((verdict) => {
+      if (verdict.kind === "admitted") {
+        starts.push(timer.now());
+      }
+    });
+  }
+  await timer.advance(2_900);
+  for (const at of starts) {
+    const within = starts.filter((one) => one >= at && one < at + 1_000);
+    t.ok(within.length <= LIMITS.perSecond, `${within.length} from ${at} ms`);
+  }
+  t.equal(starts.length, 15, "and no fewer either");
+  await timer.advance(200);
+  t.equal(starts.length, 40, "a warm server takes all that fits");
+});
+
+test("a server is cold for as long as it says itself", async (t) => {
+  const timer = createFakeTimer();
+  const rate = createColdRate(timer, () => LIMITS);
+  t.ok(rate.cold, "before it has said anything");
+  rate.noteCold(0);
+  t.notOk(rate.cold);
+  rate.noteCold(700);
+  t.ok(rate.cold);
+  await timer.advance(701);
+  t.notOk(rate.cold);
+});
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -38,7 +38,10 @@
   type AnnouncementResult,
   createServerLink,
 } from "./server_link.ts";
+import { createSlowNotice } from "./slow_notice.ts";
+import { createSlowSpell } from "./slow_spell.ts";
 import { turnsAway } from "./turn_away.ts";
+import { createUsualTimes } from "./usual_times.ts";
 import type { Completion, Warmup } from "./warmup.ts";
 
 /** Options of {@link createGuard}. */
@@ -139,6 +142,7 @@
   const admission: Admission = createAdmission({
     timer,
     warmup,
+    holds: (usualMs) => slowSpell.holds(usualMs),
     limits: { connections: 1, queueLimit: 0, queueWaitMs: 1 },
   });
   const crashes = createCrashWatch({
@@ -153,6 +157,9 @@
     }),
     share: options.shareSuspicion,
   });
+  const slowNotice = createSlowNotice(timer);
+  const slowSpell = createSlowSpell(timer);
+  const usualTimes = createUsualTimes();
   const link = createServerLink({
     timer,
     logger,
@@ -160,6 +167,11 @@
     connections: () => settings()?.connections,
     healthPath: () => settings()?.health_path,
     onCold: coldRate.noteCold,
+    onReport: (slowness) => {
+      slowNotice.report(slowness);
+      slowSpell.report(slowness);
+      admission.pump();
+    },
   });
   let leaving = false;
   let draining = false;
@@ -172,9 +184,11 @@
     return announced && directory.service(announced.service)?.settings;
   }
 
-  /** Requests that the backend server runs at once. */
+  /** Requests that the backend server runs at once without slowing down. */
   function slots(): number {
-    return link.announced?.slots ?? settings()?.slots ?? 1;
+    const service = settings();
+    const all = link.announced?.slots ?? service?.slots ?? 1;
+    return Math.max(1, Math.floor(all * (service?.full_share ?? 1)));
   }
 
   /** The warm-up that fits what is known of the service. */
@@ -410,6 +424,10 @@
       tenant: frame.tenant,
       rank: frame.rank,
       deadlineAt: timer.now() + frame.timeLeftMs,
+      objectiveAt: frame.objectiveLeftMs === undefined
+        ? undefined
+        : timer.now() + frame.objectiveLeftMs,
+      usualMs: usualTimes.of(frame.class),
       alone,
       signal: gone,
     });
@@ -426,6 +444,12 @@
       await refuseStarted(channel, { frame, reason });
       return;
     }
+    const noticeEnd = slowNotice.begin(() => {
+      if (frame.repeatable && !channel.closed) {
+        void channel.send({ kind: "slow" }).catch(() => {});
+      }
+    });
+    const slowness = link.report?.slowness ?? 1;
     const run = runAttempt({
       channel,
       frame,
@@ -437,10 +461,16 @@
       shedMeansNotRun: settings()?.shed_means_not_run ?? false,
       keepaliveMs: keepaliveMs(),
       onFailure: (error) => noteFailure(frame, error),
-      onCompletion: (completion) => noteCompletion(frame, completion),
+      onCompletion: (completion) => {
+        if (completion.ok) {
+          usualTimes.note(frame.class, completion.latencyMs, slowness);
+        }
+        noteCompletion(frame, completion);
+      },
       onVerdict: noteVerdict,
     });
     const ending = run.ended.then((end) => {
+      noticeEnd();
       verdict.place.release();
       if (end.kind === "refused") {
         ledger.set(attempt, "fenced");
--- a/src/guard/guard_parts_test.ts
+++ b/src/guard/guard_parts_test.ts
@@ -70,6 +70,8 @@
     tenant,
     rank: 0,
     deadlineAt,
+    inTime: () => true,
+    fits: () => true,
     start: () => log.push(`start ${tenant} ${deadlineAt}`),
     refuse: () => log.push(`refuse ${tenant} ${deadlineAt}`),
   };
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -104,6 +104,8 @@
       connect: connectorOf(connectTimeoutMs),
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      // Whoever sends a request cancels it; the library's timers are coarse.
+      headersTimeout: 0,
       bodyTimeout: BODY_TIMEOUT_MS,
     });
 
@@ -133,7 +135,7 @@
 
     return {
       async send(request) {
-        const { method, path, body, timeoutMs } = request;
+        const { method, path, body } = request;
         const signal = new EventEmitter();
         const release = request.signal.onCancel(() => signal.emit("abort"));
         try {
@@ -145,7 +147,6 @@
             body: body === undefined || body instanceof Uint8Array
               ? body
               : Readable.from(body),
-            headersTimeout: Math.max(1, Math.ceil(timeoutMs)),
             signal,
           });
           const head = {
--- a/src/guard/http_backend_test.ts
+++ b/src/guard/http_backend_test.ts
@@ -36,7 +36,6 @@
   caller: "",
   instance: "",
   timeLeftMs: 1_000,
-  timeoutMs: 1_000,
   signal: neverCancelled,
 };
 
--- a/src/guard/queue.ts
+++ b/src/guard/queue.ts
@@ -1,6 +1,9 @@
 /**
- * The short queue at a guard: fair between tenants, and by rank and deadline
- * within a tenant.
+ * The short queue at a guard: fair between tenants, and within a tenant by
+ * rank, by whether the objective can still be met, and by deadline.
+ *
+ * Answers a load above what the server can do: its time goes to requests that
+ * it still serves in time.
  * @module
  */
 
@@ -11,6 +14,10 @@
   rank: number;
   /** Monotonic time by which it must have been answered. */
   deadlineAt: number;
+  /** Whether it would be answered within its objective if it began now. */
+  inTime(): boolean;
+  /** Whether it may begin now. */
+  fits(): boolean;
   /** Starts the request. */
   start(): void;
   /** Gives the request up as not run. */
@@ -23,10 +30,11 @@
   readonly size: number;
   /**
    * Adds a request. When full, room is made at the cost of the tenant with
-   * most waiting, if that is another one with more; else returns `false`.
+   * most waiting, if that is another one with more, or of the tenant's own
+   * last request, if the new one is worth more; else returns `false`.
    */
   add(request: Waiting, bound: number): boolean;
-  /** Takes the next request of the tenant with least running. */
+  /** Takes the next request that fits, of the tenant with least running. */
   take(runningOf: (tenant: string) => number): Waiting | undefined;
   /** Removes a request; returns whether it was there. */
   remove(request: Waiting): boolean;
@@ -34,13 +42,35 @@
   drain(): Waiting[];
 }
 
-/** Whether a request goes before another: by rank, then by deadline. */
-function goesBefore(one: Waiting, other: Waiting): boolean {
+/** Whether a request is worth more than another, whatever their deadlines. */
+function outranks(one: Waiting, other: Waiting): boolean {
   return one.rank === other.rank
-    ? one.deadlineAt < other.deadlineAt
+    ? one.inTime() && !other.inTime()
     : one.rank < other.rank;
 }
 
+/** Whether a request goes before another of the same tenant. */
+function goesBefore(one: Waiting, other: Waiting): boolean {
+  if (outranks(one, other) || outranks(other, one)) {
+    return outranks(one, other);
+  }
+  return one.deadlineAt < other.deadlineAt;
+}
+
+function firstOf(list: readonly Waiting[]): Waiting | undefined {
+  return list.reduce<Waiting | undefined>(
+    (best, one) => best === undefined || goesBefore(one, best) ? one : best,
+    undefined,
+  );
+}
+
+function lastOf(list: readonly Waiting[]): Waiting | undefined {
+  return list.reduce<Waiting | undefined>(
+    (worst, one) => worst === undefined || goesBefore(worst, one) ? one : worst,
+    undefined,
+  );
+}
+
 /** Creates an empty queue. */
 export function createFairQueue(): FairQueue {
   const tenants = new Map<string, Waiting[]>();
@@ -49,8 +79,7 @@
   function insert(request: Waiting): void {
     const list = tenants.get(request.tenant) ?? [];
     tenants.set(request.tenant, list);
-    const after = list.findIndex((other) => goesBefore(request, other));
-    list.splice(after < 0 ? list.length : after, 0, request);
+    list.push(request);
     size++;
   }
 
@@ -78,6 +107,17 @@
     return result;
   }
 
+  /** Returns whom a request may replace in a full queue. */
+  function evictedBy(request: Waiting): Waiting | undefined {
+    const own = tenants.get(request.tenant) ?? [];
+    const crowd = longest();
+    if (crowd.length > own.length + 1) {
+      return lastOf(crowd);
+    }
+    const last = lastOf(own);
+    return last && outranks(request, last) ? last : undefined;
+  }
+
   return {
     get size() {
       return size;
@@ -87,12 +127,10 @@
         insert(request);
         return true;
       }
-      const own = tenants.get(request.tenant)?.length ?? 0;
-      const crowd = longest();
-      if (crowd.length <= own + 1) {
+      const evicted = evictedBy(request);
+      if (!evicted) {
         return false;
       }
-      const evicted = crowd.at(-1)!;
       remove(evicted);
       evicted.refuse();
       insert(request);
@@ -102,10 +140,14 @@
       let best: Waiting | undefined;
       let bestRunning = Infinity;
       for (const [tenant, list] of tenants) {
+        const first = firstOf(list.filter((one) => one.fits()));
+        if (!first) {
+          continue;
+        }
         const running = runningOf(tenant);
-        const earlier = best === undefined || goesBefore(list[0], best);
+        const earlier = best === undefined || goesBefore(first, best);
         if (running < bestRunning || (running === bestRunning && earlier)) {
-          best = list[0];
+          best = first;
           bestRunning = running;
         }
       }
--- /dev/null
+++ b/src/guard/queue_test.ts
@@ -0,0 +1,67 @@
+import { test } from "tap";
+import { neverCancelled } from "../core/cancellation.ts";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import { type Applicant, createAdmission } from "./admission.ts";
+import { createColdRate } from "./cold_rate.ts";
+
+const WORK_MS = 100;
+
+function admissionWithOnePlace(timer: ReturnType<typeof createFakeTimer>) {
+  const rate = createColdRate(
+    timer,
+    () => ({ perSecond: 100, coldMs: 0, slots: 1 }),
+  );
+  rate.noteCold(0);
+  return createAdmission({
+    timer,
+    warmup: () => rate,
+    limits: { connections: 5, queueLimit: 3, queueWaitMs: 10_000 },
+  });
+}
+
+test("waiting work goes by rank, by its objective, then by its deadline", async (t) => {
+  const timer = createFakeTimer();
+  const admission = admissionWithOnePlace(timer);
+  const order: string[] = [];
+  async function arrive(
+    name: string,
+    change: Partial<Applicant>,
+  ): Promise<void> {
+    const verdict = await admission.admit({
+      tenant: "a",
+      rank: 1,
+      deadlineAt: timer.now() + 5_000,
+      objectiveAt: timer.now() + 1_000,
+      usualMs: WORK_MS,
+      alone: false,
+      signal: neverCancelled,
+      ...change,
+    });
+    if (verdict.kind === "refused") {
+      order.push(`${name} refused: ${verdict.reason}`);
+      return;
+    }
+    order.push(name);
+    timer.after(WORK_MS, () => verdict.place.release());
+  }
+  void arrive("first", {});
+  void arrive("late for its objective", {
+    deadlineAt: timer.now() + 2_000,
+    objectiveAt: timer.now() + 50,
+  });
+  void arrive("in time", {});
+  void arrive("urgent", { rank: 0 });
+  void arrive("one too many", { objectiveAt: timer.now() + 50 });
+  void arrive("better than one that waits", { rank: 0 });
+  void arrive("hopeless", { deadlineAt: timer.now() + 20 });
+  await timer.advance(1_000);
+  t.same(order, [
+    "first",
+    "one too many refused: overloaded",
+    "late for its objective refused: overloaded",
+    "hopeless refused: no_time",
+    "urgent",
+    "better than one that waits",
+    "in time",
+  ]);
+});
--- a/src/guard/run.ts
+++ b/src/guard/run.ts
@@ -26,6 +26,11 @@
 export const WHOLE_ANSWER_BYTES = 64 * 1024;
 /** Time past its deadline for which unrepeatable work may go on. */
 const UNREPEATABLE_GRACE_MS = 10_000;
+/**
+ * Time past its deadline for which other work may go on, so that the backend
+ * server can end it itself, with an answer.
+ */
+const REPEATABLE_GRACE_MS = 25;
 const SHED_STATUS = 503;
 const FIRST_SERVER_ERROR = 500;
 
@@ -123,7 +128,7 @@
   });
   // Work that must not be repeated may end late, so that its answer is kept.
   const longestMs = frame.timeLeftMs +
-    (frame.repeatable ? 0 : UNREPEATABLE_GRACE_MS);
+    (frame.repeatable ? REPEATABLE_GRACE_MS : UNREPEATABLE_GRACE_MS);
   let expired = false;
   const expiry = timer.after(longestMs, () => {
     expired = true;
@@ -200,7 +205,6 @@
         : frame.body.length > 0
         ? frame.body
         : undefined,
-      timeoutMs: longestMs,
       signal: stop,
     });
   }
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -46,6 +46,8 @@
   healthPath: () => string | undefined;
   /** The server says for how long it stays cold, in milliseconds. */
   onCold: (coldMs: number) => void;
+  /** The server reports its present slowness. */
+  onReport: (slowness: number) => void;
 }
 
 /** The link to the announced backend server. */
@@ -115,6 +117,7 @@
     if (verdict.report) {
       report = verdict.report;
       reportedAt = timer.now();
+      options.onReport(report.slowness);
     }
     if (verdict.coldMs !== undefined) {
       options.onCold(verdict.coldMs);
@@ -134,7 +137,6 @@
         caller: "",
         instance: "",
         timeLeftMs: PROBE_TIMEOUT_MS,
-        timeoutMs: PROBE_TIMEOUT_MS,
         signal: canceller,
       });
       await readAll(answer.body);
--- /dev/null
+++ b/src/guard/slow_spell.ts
@@ -0,0 +1,48 @@
+/**
+ * Whether work had better wait for a slow server to be fast again.
+ *
+ * Answers a load that finds every server slow or full at once: work keeps the
+ * speed at which it begins, and slow spells of shared VMs are short.
+ * @module
+ */
+import type { Timer } from "../time/timer.ts";
+import { isSlow } from "./turn_away.ts";
+
+/** The slow spells of one server. */
+export interface SlowSpell {
+  /** The server has reported its present slowness. */
+  report(slowness: number): void;
+  /** Whether work that usually takes some time had better wait. */
+  holds(usualMs: number): boolean;
+}
+
+/** Length that a spell is expected to have at least, in milliseconds. */
+const EXPECTED_SPELL_MS = 100;
+/** Age past which a report says nothing of the present, in milliseconds. */
+const STALE_MS = 400;
+
+/** Creates the spells of a server that has reported nothing yet. */
+export function createSlowSpell(timer: Timer): SlowSpell {
+  let slowness = 1;
+  let reportedAt = -Infinity;
+  let since = -Infinity;
+
+  return {
+    report(next) {
+      if (isSlow(next) && !isSlow(slowness)) {
+        since = timer.now();
+      }
+      slowness = next;
+      reportedAt = timer.now();
+    },
+    holds(usualMs) {
+      const fresh = timer.now() - reportedAt <= STALE_MS;
+      if (!fresh || !isSlow(slowness)) {
+        return false;
+      }
+      // The longer a spell has lasted, the longer it is likely to go on.
+      const expectedMs = Math.max(EXPECTED_SPELL_MS, timer.now() - since);
+      return (slowness - 1) * usualMs > expectedMs;
+    },
+  };
+}
--- a/src/guard/turn_away.ts
+++ b/src/guard/turn_away.ts
@@ -24,17 +24,19 @@
 const SLOW = 1.8;
 /** Age past which a report of slowness says nothing of the present. */
 const STALE_MS = 400;
-/** Share of the slots past which servers tend to slow down. */
-const COMFORTABLE_SHARE = 0.75;
+
+/** Whether work takes so much longer than usual that it matters. */
+export function isSlow(slowness: number): boolean {
+  return slowness >= SLOW;
+}
 
 /** Returns why a request had better go elsewhere, if so. */
 export function turnsAway(moment: Moment): RefusalReason | undefined {
   const { slowness, reportAgeMs, busy, allowed } = moment;
-  if (slowness >= SLOW && reportAgeMs <= STALE_MS) {
+  if (isSlow(slowness) && reportAgeMs <= STALE_MS) {
     return "slow";
   }
-  const comfortable = Math.max(1, Math.floor(allowed * COMFORTABLE_SHARE));
-  return busy >= comfortable ? "busy" : undefined;
+  return busy >= allowed ? "busy" : undefined;
 }
 
 /** Whether a refusal only says that elsewhere may be better. */
--- a/src/ingress/budget_test.ts
+++ b/src/ingress/budget_test.ts
@@ -1,6 +1,10 @@
 import { test } from "tap";
 import { createFakeTimer } from "../time/fake_timer.ts";
-import { createRateBudget, createRatioBudget } from "./budget.ts";
+import {
+  createRateBudget,
+  createRatioBudget,
+  createServiceBudgets,
+} from "./budget.ts";
 
 function takeAll(take: () => boolean): number {
   let count = 0;
@@ -33,3 +37,20 @@
   await timer.advance(60_000);
   t.equal(takeAll(budget.take), 2, "idle time is not saved up");
 });
+
+test("the nodes share the fleet's reserve out", (t) => {
+  const limits = {
+    retry: { budget_ratio: 0.25, hedge_budget_ratio: 0.25, budget_reserve: 60 },
+    fleetSize: 10,
+  };
+  const budgets = createServiceBudgets(() => limits);
+  const { retry, hedge } = budgets.of("work");
+  for (let count = 0; count < 100; count++) {
+    budgets.of("work").deposit();
+  }
+  t.equal(takeAll(retry.take) + takeAll(hedge.take), 6, "a tenth of it");
+  t.equal(budgets.of("work").retry, retry, "one budget for each service");
+  budgets.of("work").deposit();
+  t.notOk(retry.take(), "a quarter of a retry for one request");
+  t.end();
+});
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -7,7 +7,11 @@
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { StepError } from "../core/errors.ts";
 import { isTurnedAway } from "../guard/turn_away.ts";
-import type { AttemptId, FenceState } from "../network/frames.ts";
+import type {
+  AttemptId,
+  FenceState,
+  RefusalReason,
+} from "../network/frames.ts";
 import type { ServiceBudgets } from "./budget.ts";
 import { notRunReply, type Reply, timeUpReply, unknownReply } from "./call.ts";
 import type { ExchangeEnd, ReceivedAnswer } from "./exchange.ts";
@@ -49,6 +53,16 @@
 const FIRST_SERVER_ERROR = 500;
 const MIN_HEDGE_DELAY_MS = 2;
 const MEDIAN = 0.5;
+/**
+ * Time past its deadline for which an attempt is waited for, so that what ends
+ * at the deadline is told by the one who ended it.
+ */
+const ANSWER_GRACE_MS = 40;
+
+/** Why a request that did not run is refused to its caller. */
+function reasonOf({ cause }: NotRun): RefusalReason {
+  return cause === "quarantined" || cause === "no_time" ? cause : "overloaded";
+}
 
 /** Turns an answer into the reply to the caller. */
 export function replyOf(
@@ -79,10 +93,13 @@
     elsewhere?: boolean;
     signal: Cancellation;
     stream?: AsyncIterable<Uint8Array>;
+    /** The guard says that the attempt has begun on a slow server. */
+    onSlow?: () => void;
   },
 ): Promise<AttemptEnd> {
   const { routed, member, id, suspect, elsewhere = false, signal } = attempt;
-  const { deadlineAt, settings } = routed;
+  const { settings } = routed;
+  const deadlineAt = routed.deadlineAt + ANSWER_GRACE_MS;
   const { timer, hints, exchanger } = parts;
   const startedAt = timer.now();
   const usualMs = parts.metrics.quantile(settings.class, MEDIAN);
@@ -103,6 +120,7 @@
       elsewhere,
     }),
     stream: attempt.stream,
+    onSlow: attempt.onSlow,
     signal,
     deadlineAt,
   });
@@ -148,7 +166,7 @@
       hints.report(member.server, load);
       return notRun(last.reason, {
         retryAfterMs: last.retryAfterMs,
-        final: last.reason === "quarantined",
+        final: last.reason === "quarantined" || last.reason === "no_time",
         reached: last.reason === "shed",
       });
     }
@@ -241,9 +259,9 @@
     },
   ): Promise<AttemptEnd> {
     const { member, suspect, elsewhere, tried, mayHedge } = first;
-    const delayMs = suspect || !mayHedge ? undefined : hedgeDelay(routed);
+    const delayMs = hedgeDelay(routed);
     const { signal } = routed.call;
-    if (delayMs === undefined) {
+    if (suspect || !mayHedge || !routed.settings.hedge) {
       return await attemptAt(parts, {
         routed,
         member,
@@ -257,6 +275,7 @@
     const release = signal.onCancel(() =>
       cancellers.forEach((one) => one.cancel())
     );
+    const slow = createCanceller();
     function begin(index: 0 | 1, at: Member): Promise<AttemptEnd> {
       return attemptAt(parts, {
         routed,
@@ -265,10 +284,11 @@
         suspect: false,
         elsewhere: index === 1 || elsewhere,
         signal: cancellers[index],
+        onSlow: index === 0 ? slow.cancel : undefined,
       });
     }
     const attempts = [begin(0, member)];
-    const firstEnded = await endsWithin(attempts[0], delayMs);
+    const firstEnded = await endsInTime(attempts[0], { delayMs, slow });
     const other = firstEnded
       ? undefined
       : parts.choose(routed.route.service, new Set([...tried, member.server]));
@@ -280,7 +300,9 @@
         requestId: routed.call.requestId,
         service: routed.route.service,
         server: other.server,
-        cause: `no answer from ${member.server} in ${delayMs.toFixed(1)} ms`,
+        cause: slow.cancelled
+          ? `${member.server} is slow`
+          : `no answer from ${member.server} in ${delayMs?.toFixed(1)} ms`,
       });
       tried.add(other.server);
       attempts.push(begin(1, other));
@@ -296,15 +318,18 @@
     return best.end;
   }
 
-  /** Whether an attempt ends before a time is up. */
-  function endsWithin(
+  /** Whether an attempt ends before a time is up, or its server is slow. */
+  function endsInTime(
     attempt: Promise<AttemptEnd>,
-    delayMs: number,
+    until: { delayMs: number | undefined; slow: Cancellation },
   ): Promise<boolean> {
     return new Promise((resolve) => {
-      const timeout = timer.after(delayMs, () => resolve(false));
+      const timeout = until.delayMs === undefined
+        ? undefined
+        : timer.after(until.delayMs, () => resolve(false));
+      until.slow.onCancel(() => resolve(false));
       void attempt.then(() => {
-        timeout.cancel();
+        timeout?.cancel();
         resolve(true);
       });
     });
@@ -465,8 +490,7 @@
       return notRunReply(timeUp ? "no_time" : "no_backend_server");
     }
     const retryAfterMs = last.kind === "not_run" ? last.retryAfterMs : 0;
-    const final = last.kind === "not_run" && last.final;
-    const reason = final ? "quarantined" : "overloaded";
+    const reason = last.kind === "not_run" ? reasonOf(last) : "overloaded";
     return {
       ...notRunReply(reason, { attempts, retryAfterMs }),
       reason: last.cause,
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -43,6 +43,8 @@
   attempt: Attempt;
   /** Body to be streamed once the attempt is admitted. */
   stream?: AsyncIterable<Uint8Array>;
+  /** The guard says that the attempt has begun on a slow server. */
+  onSlow?: () => void;
   /** Cancelled when nobody waits for the end any more. */
   signal: Cancellation;
   /** Monotonic time at which the wait ends. */
@@ -83,6 +85,7 @@
   deadlineAt: number;
   signal: Cancellation;
   stream?: AsyncIterable<Uint8Array>;
+  onSlow?: () => void;
 }
 
 function sameAttempt(one: AttemptId, other: AttemptId): boolean {
@@ -132,6 +135,9 @@
       while (true) {
         // A long body may take its time; only silence ends it.
         const frame = await nextContent(channel, Infinity);
+        if (frame.kind === "slow") {
+          continue;
+        }
         if (frame.kind === "end") {
           whole = true;
           return;
@@ -174,6 +180,10 @@
     const { attempt, deadlineAt, stream } = exchange;
     while (true) {
       const frame = await nextContent(channel, deadlineAt);
+      if (frame.kind === "slow") {
+        exchange.onSlow?.();
+        continue;
+      }
       if (frame.kind === "admitted" && stream) {
         void sendStream(channel, stream);
         continue;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -79,6 +79,7 @@
   service: Service;
   tenant: string;
   fingerprint: string;
+  startedAt: number;
   deadlineAt: number;
 }
 
@@ -204,6 +205,9 @@
       rank: settings.rank,
       repeatable: settings.repeatable,
       timeLeftMs: Math.max(0, deadlineAt - timer.now()),
+      objectiveLeftMs: settings.objective_ms === undefined
+        ? undefined
+        : settings.objective_ms - (timer.now() - routed.startedAt),
       method: call.method,
       path: call.path,
       headers: call.headers,
@@ -269,6 +273,7 @@
       service,
       tenant: tenantOf(call),
       fingerprint: fingerprintOf(call),
+      startedAt: timer.now(),
       deadlineAt: timer.now() + timeoutOf(call, settings),
     };
   }
--- a/src/ingress/search.ts
+++ b/src/ingress/search.ts
@@ -25,7 +25,7 @@
 /** Guards that may turn a request away before it stays where it is sent. */
 const MAX_TURNED_AWAY = 3;
 /** Guards that are asked in all. */
-const MAX_PLACES = 8;
+const MAX_PLACES = 6;
 
 /** Creates a search; `choose` returns the best server but for some. */
 export function createSearch(
--- /dev/null
+++ b/src/ingress/search_test.ts
@@ -0,0 +1,46 @@
+import { test } from "tap";
+import type { Member } from "../control/commands.ts";
+import { createSearch } from "./search.ts";
+
+function membersNamed(...names: string[]): Member[] {
+  return names.map((server) => ({
+    server,
+    service: "work",
+    domain: "east",
+    region: "default",
+    address: `${server}:1`,
+    incarnation: "one",
+    boot: "boot",
+    slots: 8,
+    leaving: false,
+  }));
+}
+
+function searchAmong(members: Member[]) {
+  return createSearch((avoid) =>
+    members.find((member) => !avoid.has(member.server))
+  );
+}
+
+test("a request stays where it is sent once three guards turned it away", (t) => {
+  const search = searchAmong(membersNamed("a", "b", "c", "d", "e"));
+  for (const expected of ["a", "b", "c"]) {
+    const place = search.next()!;
+    t.same([place.member.server, place.elsewhere], [expected, true]);
+    search.turnedAway(place.member);
+  }
+  const last = search.next()!;
+  t.same([last.member.server, last.elsewhere], ["a", false]);
+  t.end();
+});
+
+test("where all have been asked, those that only preferred not to are left", (t) => {
+  const search = searchAmong(membersNamed("a", "b"));
+  const first = search.next()!;
+  search.turnedAway(first.member);
+  t.equal(search.next()!.member.server, "b", "b refuses for good");
+  const last = search.next()!;
+  t.same([last.member.server, last.elsewhere], ["a", false]);
+  t.equal(search.next(), undefined);
+  t.end();
+});
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -83,6 +83,7 @@
   rank: z.number(),
   repeatable: z.boolean(),
   timeLeftMs: z.number(),
+  objectiveLeftMs: z.number().optional(),
   method: z.string(),
   path: z.string(),
   headers: headerList,
@@ -151,6 +152,7 @@
 export const frameSchema = z.discriminatedUnion("kind", [
   attemptSchema,
   z.object({ kind: z.literal("admitted") }),
+  z.object({ kind: z.literal("slow") }),
   z.object({ kind: z.literal("data"), bytes }),
   z.object({ kind: z.literal("end") }),
   answerSchema,
--- /dev/null
+++ b/src/node/prefix_table_test.ts
@@ -0,0 +1,54 @@
+import { test } from "tap";
+import { createSeededRandom } from "../core/random.ts";
+import { prefixRouteSchema } from "../settings/site.ts";
+import { createPrefixTable, pickTarget } from "./prefix_table.ts";
+
+function tableOf(...places: [host: string, prefix: string][]) {
+  return createPrefixTable(places.map(([host, prefix]) => ({
+    name: `${host}${prefix}`,
+    ...prefixRouteSchema.parse({
+      host,
+      prefix,
+      class: "any",
+      repeatable: true,
+      targets: [{ service: "work" }],
+    }),
+  })));
+}
+
+test("the longest prefix of the host wins", (t) => {
+  const table = tableOf(
+    ["a.example", "/"],
+    ["a.example", "/x/"],
+    ["a.example", "/x/y/"],
+    ["b.example", "/x/"],
+  );
+  const found = (host: string, path: string) => table.find(host, path)?.name;
+  t.equal(found("a.example", "/x/y/z"), "a.example/x/y/");
+  t.equal(found("a.example", "/x/yy"), "a.example/x/");
+  t.equal(found("a.example", "/xx"), "a.example/");
+  t.equal(found("A.example:8080", "/x/"), "a.example/x/");
+  t.equal(found("b.example", "/x/1"), "b.example/x/");
+  t.equal(found("b.example", "/y/1"), undefined);
+  t.equal(found("c.example", "/x/1"), undefined);
+  t.equal(found("a.example", "*"), undefined, "no path at all");
+  t.end();
+});
+
+test("services share a route's requests by weight", (t) => {
+  const random = createSeededRandom(3);
+  const targets = [
+    { service: "one", weight: 90 },
+    { service: "none", weight: 0 },
+    { service: "other", weight: 10 },
+  ];
+  const counts = new Map<string, number>();
+  for (let count = 0; count < 2_000; count++) {
+    const { service } = pickTarget(targets, random.fraction);
+    counts.set(service, (counts.get(service) ?? 0) + 1);
+  }
+  const share = (counts.get("other") ?? 0) / 2_000;
+  t.ok(share > 0.08 && share < 0.12, String(share));
+  t.equal(counts.get("none"), undefined);
+  t.end();
+});
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -52,6 +52,8 @@
 
 const SYNC_TIMEOUT_MS = 1_000;
 const DEFAULT_INTERVAL_MS = 500;
+/** Interval until a quorum has confirmed the view. */
+const UNCONFIRMED_INTERVAL_MS = 100;
 /** Staleness past which another replica is asked. */
 const STALE_REPLICA_MS = 1_000;
 const MAX_EVENTS_PER_SYNC = 40;
@@ -69,6 +71,9 @@
   let catchingUp = false;
 
   function intervalMs(): number {
+    if (!confirmed) {
+      return UNCONFIRMED_INTERVAL_MS;
+    }
     const base = directory.global?.limits.timeouts.sync_ms ??
       DEFAULT_INTERVAL_MS;
     // A little spread keeps nodes from asking in step.
--- a/tests/control/replica_test.ts
+++ b/tests/control/replica_test.ts
@@ -313,3 +313,21 @@
   await lab.converge();
   t.same(lab.broken(), []);
 });
+
+test("a replica goes on once its full disk has room again", async (t) => {
+  const lab = createLab({ seed: 14 });
+  await lab.begin();
+  const leader = lab.cluster.leader()!;
+  leader.disk.failFrom(leader.disk.operations + 1, "no space left on device");
+  t.equal((await lab.change())?.kind, "accepted", "another one leads");
+  await lab.timer.advance(4_000);
+  t.equal((await lab.change())?.kind, "accepted");
+  leader.disk.repair();
+  await lab.until("it follows again", () => {
+    const { role, commitIndex } = leader.control.replica.status();
+    const newest = lab.cluster.leader()?.control.replica.status().commitIndex;
+    return role === "follower" && commitIndex === newest;
+  });
+  await lab.converge();
+  t.same(lab.broken(), []);
+});
