Count hedges among the servers that a request may reach; wait by objective

A request now waits while its objective can be met, then for four tenths of its time at the end of the queue.

--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -12,6 +12,8 @@
 
 /** Share of the usual time that a request takes at least. */
 const LEAST_SHARE = 0.6;
+/** Share of its time that a request waits when it can't be in time any more. */
+const LATE_PATIENCE_SHARE = 0.4;
 
 /** Limits of admission. */
 export interface AdmissionLimits {
@@ -155,6 +157,20 @@
     }
   }
 
+  /**
+   * Longest wait of a request: for as long as its objective can be met, and
+   * for a part of its time beyond that, when it only fills idle places.
+   */
+  function patienceOf(applicant: Applicant): number {
+    const { objectiveAt, deadlineAt, usualMs = 0 } = applicant;
+    if (objectiveAt === undefined) {
+      return Infinity;
+    }
+    const inTime = objectiveAt - usualMs - timer.now();
+    const left = deadlineAt - usualMs - timer.now();
+    return Math.max(inTime, left * LATE_PATIENCE_SHARE);
+  }
+
   function reasonForFull(): RefusalReason {
     if (inFlight >= limits.connections) {
       return "no_connection";
@@ -167,7 +183,11 @@
       const { tenant, rank, deadlineAt, alone, signal } = applicant;
       const usualMs = applicant.usualMs ?? 0;
       const startBy = deadlineAt - usualMs * LEAST_SHARE;
-      const longest = Math.min(limits.queueWaitMs, startBy - timer.now());
+      const longest = Math.min(
+        limits.queueWaitMs,
+        patienceOf(applicant),
+        startBy - timer.now(),
+      );
       const timeout = timer.after(longest, () => {
         remove();
         waiting.refuse();
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -256,6 +256,8 @@
       elsewhere: boolean;
       tried: Set<string>;
       mayHedge: boolean;
+      /** Is told how many backend servers a second attempt has reached. */
+      onReached: (count: number) => void;
     },
   ): Promise<AttemptEnd> {
     const { member, suspect, elsewhere, tried, mayHedge } = first;
@@ -305,7 +307,14 @@
           : `no answer from ${member.server} in ${delayMs?.toFixed(1)} ms`,
       });
       tried.add(other.server);
-      attempts.push(begin(1, other));
+      first.onReached(1);
+      const second = begin(1, other);
+      void second.then((end) => {
+        if (end.kind === "not_run" && !end.reached) {
+          first.onReached(-1);
+        }
+      });
+      attempts.push(second);
     }
     const best = await firstAnswer(attempts);
     attempts.forEach((one, index) => {
@@ -429,6 +438,9 @@
           elsewhere,
           tried: search.tried,
           mayHedge: reached + 2 <= most,
+          onReached: (count) => {
+            reached += count;
+          },
         });
       last = end;
       reached += end.kind === "not_run" && !end.reached ? 0 : 1;
--- a/tests/scenario/dispatch_test.ts
+++ b/tests/scenario/dispatch_test.ts
@@ -20,3 +20,33 @@
   t.ok(ran.length > 0);
   t.ok(ran.every((call) => call.reply?.status === 500));
 });
+
+test("hedges count among the servers that a request may reach", async (t) => {
+  const world = await startSmallWorld({
+    seed: 4,
+    servers: 5,
+    retryRatio: 1,
+    look: { hedge: true, max_attempts: 2 },
+  });
+  for (let count = 0; count < 120; count++) {
+    world.call({ via: "vm1", path: `/look/${count}` });
+    await world.timer.advance(10);
+  }
+  for (const vm of world.vms) {
+    vm.server.slowness = 20;
+    vm.server.failStatus = 500;
+    vm.server.failsLate = true;
+  }
+  const calls = [];
+  for (let count = 0; count < 20; count++) {
+    calls.push(world.call({ via: "vm1", path: `/look/late${count}` }));
+    await world.timer.advance(100);
+  }
+  await world.timer.advance(3_000);
+  const runs = calls.map(({ requestId }) =>
+    world.vms.flatMap((vm) => vm.server.executions)
+      .filter((execution) => execution.requestId === requestId).length
+  );
+  t.ok(runs.some((count) => count === 2), "second attempts were made");
+  t.ok(runs.every((count) => count <= 2), `runs: ${runs.join(" ")}`);
+});
--- a/tests/scenario/fake_backend.ts
+++ b/tests/scenario/fake_backend.ts
@@ -43,6 +43,8 @@
   readonly coldPeak: number;
   slowness: number;
   failStatus: number | undefined;
+  /** It fails only once the work is done. */
+  failsLate: boolean;
   /** Requests whose path holds this crash the server. */
   poison: string;
   /** Takes requests but never answers. */
@@ -168,6 +170,9 @@
       key: headerOf(request, "idempotency-key"),
     });
     if (server.failStatus !== undefined) {
+      if (server.failsLate) {
+        await run(request);
+      }
       return { status: server.failStatus, headers: [], body: bodyOf("failed") };
     }
     await run(request);
@@ -189,6 +194,7 @@
     },
     slowness: 1,
     failStatus: undefined,
+    failsLate: false,
     poison: "",
     hangs: false,
     cutsBodies: false,
--- a/tests/scenario/small_world.ts
+++ b/tests/scenario/small_world.ts
@@ -3,7 +3,7 @@
  * warm, each with one route to look and one to pay.
  * @module
  */
-import { siteSchema } from "../../src/settings/site.ts";
+import { type RoutePolicy, siteSchema } from "../../src/settings/site.ts";
 import { createWorld, SERVICE, type World } from "./world.ts";
 
 /** What a small world is made of. */
@@ -13,25 +13,32 @@
   meanMs?: number;
   /** Retries of work that may have run, per request. */
   retryRatio?: number;
+  /** Settings of the route to look. */
+  look?: Partial<RoutePolicy>;
 }
 
 /** Starts a small world and waits until it is ready. */
 export async function startSmallWorld(
   options: SmallWorldOptions,
 ): Promise<World> {
-  const { seed, servers, meanMs = 5, retryRatio = 0.1 } = options;
+  const { seed, servers, meanMs = 5, retryRatio = 0.1, look } = options;
   const world = createWorld({
     seed,
     servers,
     site: siteSchema.parse({
       name: "small",
       domains: ["east", "west"],
-      retry: { budget_ratio: retryRatio },
+      retry: { budget_ratio: retryRatio, hedge_budget_ratio: retryRatio },
       services: {
         [SERVICE]: {
           team: "work",
           routes: {
-            look: { path: "/look/*", class: "look", repeatable: true },
+            look: {
+              path: "/look/*",
+              class: "look",
+              repeatable: true,
+              ...look,
+            },
             pay: {
               method: "POST",
               path: "/pay/*",
