Let guards find a server's knee; turn work away from servers that fail fast

A guard now compares the pace of what began and ended beside much work with the rest, and keeps the usual times from what was not nearly full.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -32,12 +32,14 @@
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
+import { createKnee } from "./knee.ts";
 import { runAttempt } from "./run.ts";
 import {
   type Announcement,
   type AnnouncementResult,
   createServerLink,
 } from "./server_link.ts";
+import { createFailingShare } from "./failing_share.ts";
 import { createSlowNotice } from "./slow_notice.ts";
 import { createSlowSpell } from "./slow_spell.ts";
 import { turnsAway } from "./turn_away.ts";
@@ -119,6 +121,25 @@
 /** Time for which a server is taken for cold if the settings do not say. */
 const DEFAULT_COLD_MS = 3_000;
 
+const FIRST_SERVER_ERROR = 500;
+/** Share of the usual time up to which an error comes early. */
+const EARLY_SHARE = 0.5;
+
+/**
+ * Whether an attempt that began shows that the server does not work well. An
+ * error after the usual time may come from a call that the request needed.
+ */
+function hasFailed(
+  end: Answer | Failed | Refused,
+  time: { tookMs: number; usualMs: number },
+): boolean {
+  if (end.kind === "answer") {
+    const early = time.tookMs < time.usualMs * EARLY_SHARE;
+    return end.status >= FIRST_SERVER_ERROR && early;
+  }
+  return end.kind === "refused" || !end.cause.startsWith("aborted");
+}
+
 const UNSET_RAMP: RampLimits = {
   coldLimit: 1,
   slots: 1,
@@ -137,7 +158,7 @@
   const coldRate = createColdRate(timer, () => ({
     perSecond: settings()?.cold_rate_per_s ?? 1,
     coldMs: settings()?.cold_ms ?? DEFAULT_COLD_MS,
-    slots: slots(),
+    slots: knee.worthFilling(slots()),
   }));
   const admission: Admission = createAdmission({
     timer,
@@ -160,6 +181,8 @@
   const slowNotice = createSlowNotice(timer);
   const slowSpell = createSlowSpell(timer);
   const usualTimes = createUsualTimes();
+  const failing = createFailingShare(timer);
+  const knee = createKnee(timer);
   const link = createServerLink({
     timer,
     logger,
@@ -184,11 +207,9 @@
     return announced && directory.service(announced.service)?.settings;
   }
 
-  /** Requests that the backend server runs at once without slowing down. */
+  /** Requests that the backend server runs at once. */
   function slots(): number {
-    const service = settings();
-    const all = link.announced?.slots ?? service?.slots ?? 1;
-    return Math.max(1, Math.floor(all * (service?.full_share ?? 1)));
+    return link.announced?.slots ?? settings()?.slots ?? 1;
   }
 
   /** The warm-up that fits what is known of the service. */
@@ -289,6 +310,7 @@
         reportAgeMs: link.reportAgeMs,
         busy: admission.inFlight + admission.queued,
         allowed: warmup().allowed,
+        failingShare: failing.share(),
       })
       : undefined;
   }
@@ -356,6 +378,26 @@
     link.noteVerdict(verdict);
   }
 
+  /** Learns from a request that began at some slowness beside others. */
+  function learnPace(
+    className: string,
+    latencyMs: number,
+    { slowness, busy }: { slowness: number; busy: number },
+  ): void {
+    const usualMs = usualTimes.of(className);
+    const all = slots();
+    const busyAtEnd = admission.inFlight;
+    if (usualMs > 0) {
+      const pace = latencyMs / (usualMs * Math.max(1, slowness));
+      knee.note({ busyAtStart: busy, busyAtEnd, slots: all, pace });
+    }
+    // What a nearly full server does must not become the usual.
+    const full = knee.nearlyFull(busy, all) || knee.nearlyFull(busyAtEnd, all);
+    if (!full || usualMs === 0) {
+      usualTimes.note(className, latencyMs, slowness);
+    }
+  }
+
   function noteCompletion(
     frame: Attempt,
     completion: Omit<Completion, "class">,
@@ -450,6 +492,8 @@
       }
     });
     const slowness = link.report?.slowness ?? 1;
+    const busy = admission.inFlight;
+    const begunAt = timer.now();
     const run = runAttempt({
       channel,
       frame,
@@ -463,7 +507,7 @@
       onFailure: (error) => noteFailure(frame, error),
       onCompletion: (completion) => {
         if (completion.ok) {
-          usualTimes.note(frame.class, completion.latencyMs, slowness);
+          learnPace(frame.class, completion.latencyMs, { slowness, busy });
         }
         noteCompletion(frame, completion);
       },
@@ -471,6 +515,10 @@
     });
     const ending = run.ended.then((end) => {
       noticeEnd();
+      failing.note(hasFailed(end, {
+        tookMs: timer.now() - begunAt,
+        usualMs: usualTimes.of(frame.class),
+      }));
       verdict.place.release();
       if (end.kind === "refused") {
         ledger.set(attempt, "fenced");
--- /dev/null
+++ b/src/guard/knee_test.ts
@@ -0,0 +1,49 @@
+import { test } from "tap";
+import { createSeededRandom } from "../core/random.ts";
+import { createFakeTimer, type FakeTimer } from "../time/fake_timer.ts";
+import { createKnee, type Knee } from "./knee.ts";
+import { createUsualTimes } from "./usual_times.ts";
+
+const SLOTS = 12;
+const WORK_MS = 60;
+
+/** Notes requests beside any number of others; a full server slows by `x`. */
+async function play(knee: Knee, timer: FakeTimer, x: number): Promise<void> {
+  const random = createSeededRandom(5);
+  const usual = createUsualTimes();
+  for (let count = 0; count < 300; count++) {
+    const busy = 1 + random.integer(knee.worthFilling(SLOTS));
+    const spread = 0.7 + 0.6 * random.fraction();
+    const unseen = random.fraction() < 0.03 ? 5 : 1;
+    const slower = busy > 0.8 * SLOTS ? x : 1;
+    const latencyMs = WORK_MS * spread * unseen * slower;
+    const usualMs = usual.of("work") || WORK_MS;
+    knee.note({
+      busyAtStart: busy,
+      busyAtEnd: busy,
+      slots: SLOTS,
+      pace: latencyMs / usualMs,
+    });
+    if (!knee.nearlyFull(busy, SLOTS)) {
+      usual.note("work", latencyMs, 1);
+    }
+    await timer.advance(10);
+  }
+}
+
+test("a server that slows down when nearly full is not filled", async (t) => {
+  const timer = createFakeTimer();
+  const knee = createKnee(timer);
+  t.equal(knee.worthFilling(SLOTS), 9, "nothing is known at first");
+  await play(knee, timer, 1.7);
+  t.equal(knee.worthFilling(SLOTS), 9);
+  await timer.advance(121_000);
+  t.equal(knee.worthFilling(SLOTS), SLOTS, "after a while it is tried again");
+});
+
+test("a server that stays fast is filled", async (t) => {
+  const timer = createFakeTimer();
+  const knee = createKnee(timer);
+  await play(knee, timer, 1);
+  t.equal(knee.worthFilling(SLOTS), SLOTS);
+});
--- a/src/guard/turn_away.ts
+++ b/src/guard/turn_away.ts
@@ -18,12 +18,16 @@
   busy: number;
   /** Requests that may run at once. */
   allowed: number;
+  /** Share of recent requests that the server failed or turned away. */
+  failingShare: number;
 }
 
 /** Multiple of the usual time from which a server counts as slow. */
 const SLOW = 1.8;
 /** Age past which a report of slowness says nothing of the present. */
 const STALE_MS = 400;
+/** Share of failures from which another server is the better place. */
+const FAILING_SHARE = 0.3;
 
 /** Whether work takes so much longer than usual that it matters. */
 export function isSlow(slowness: number): boolean {
@@ -32,7 +36,10 @@
 
 /** Returns why a request had better go elsewhere, if so. */
 export function turnsAway(moment: Moment): RefusalReason | undefined {
-  const { slowness, reportAgeMs, busy, allowed } = moment;
+  const { slowness, reportAgeMs, busy, allowed, failingShare } = moment;
+  if (failingShare > FAILING_SHARE) {
+    return "failing";
+  }
   if (isSlow(slowness) && reportAgeMs <= STALE_MS) {
     return "slow";
   }
@@ -41,5 +48,5 @@
 
 /** Whether a refusal only says that elsewhere may be better. */
 export function isTurnedAway(reason: string): boolean {
-  return reason === "slow" || reason === "busy";
+  return reason === "slow" || reason === "busy" || reason === "failing";
 }
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -53,12 +53,24 @@
 const FIRST_SERVER_ERROR = 500;
 const MIN_HEDGE_DELAY_MS = 2;
 const MEDIAN = 0.5;
+const QUEUE_REFUSALS = new Set<string>(["overloaded", "cold", "no_connection"]);
+/** Time in a queue after which no second one is tried. */
+const LONG_WAIT_MS = 30;
 /**
  * Time past its deadline for which an attempt is waited for, so that what ends
  * at the deadline is told by the one who ended it.
  */
 const ANSWER_GRACE_MS = 40;
 
+/**
+ * Whether a request waited in a queue in vain: its caller is told at once,
+ * rather than after another wait elsewhere.
+ */
+function hasWaited(end: AttemptEnd, waitedMs: number): boolean {
+  return end.kind === "not_run" && QUEUE_REFUSALS.has(end.cause) &&
+    waitedMs > LONG_WAIT_MS;
+}
+
 /** Why a request that did not run is refused to its caller. */
 function reasonOf({ cause }: NotRun): RefusalReason {
   return cause === "quarantined" || cause === "no_time" ? cause : "overloaded";
@@ -162,7 +174,8 @@
       parts.onNewerVersion(load.version, member.address);
     }
     if (last.kind === "refused") {
-      finish(undefined);
+      const shed = last.reason === "shed";
+      finish(shed ? { latencyMs, ok: false, load } : undefined);
       hints.report(member.server, load);
       return notRun(last.reason, {
         retryAfterMs: last.retryAfterMs,
@@ -421,6 +434,7 @@
       }
       const { member, elsewhere } = place;
       attempts++;
+      const askedAt = timer.now();
       const suspect = crashes > 0;
       const end: AttemptEnd = stream
         ? await attemptAt(parts, {
@@ -459,6 +473,9 @@
       if (started() || !retryable(end, routed)) {
         break;
       }
+      if (hasWaited(end, timer.now() - askedAt)) {
+        break;
+      }
       if (end.kind === "not_run" && isTurnedAway(end.cause)) {
         search.turnedAway(member);
         metrics.count("turned_away");
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -58,6 +58,7 @@
   "shed",
   "slow",
   "busy",
+  "failing",
   "connect_failed",
   "no_route",
   "no_quorum",
--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -143,8 +143,6 @@
     .describe("Requests that one backend server runs at once"),
   connections: z.number().int().positive().default(256)
     .describe("Connections that one backend server accepts"),
-  full_share: z.number().positive().max(1).default(1)
-    .describe("Share of its slots up to which a backend server stays fast"),
   health_path: z.string().startsWith("/").default("/health")
     .describe("Path of the health check"),
   cold_limit: z.number().int().positive().default(2)
