Gather what a guard learns of its server; count every error as failing

The knee now compares times within each kind of request: a common usual time was learned while it was used, and after a restart under load it was off by a fifth, as much as the knee itself.

guard.ts hands what it learns to server_watch.ts.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -32,18 +32,14 @@
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
-import { createKnee } from "./knee.ts";
 import { runAttempt } from "./run.ts";
 import {
   type Announcement,
   type AnnouncementResult,
   createServerLink,
 } from "./server_link.ts";
-import { createFailingShare } from "./failing_share.ts";
-import { createSlowNotice } from "./slow_notice.ts";
-import { createSlowSpell } from "./slow_spell.ts";
+import { createServerWatch } from "./server_watch.ts";
 import { turnsAway } from "./turn_away.ts";
-import { createUsualTimes } from "./usual_times.ts";
 import type { Completion, Warmup } from "./warmup.ts";
 
 /** Options of {@link createGuard}. */
@@ -121,25 +117,6 @@
 /** Time for which a server is taken for cold if the settings do not say. */
 const DEFAULT_COLD_MS = 3_000;
 
-const FIRST_SERVER_ERROR = 500;
-/** Share of the usual time up to which an error comes early. */
-const EARLY_SHARE = 0.5;
-
-/**
- * Whether an attempt that began shows that the server does not work well. An
- * error after the usual time may come from a call that the request needed.
- */
-function hasFailed(
-  end: Answer | Failed | Refused,
-  time: { tookMs: number; usualMs: number },
-): boolean {
-  if (end.kind === "answer") {
-    const early = time.tookMs < time.usualMs * EARLY_SHARE;
-    return end.status >= FIRST_SERVER_ERROR && early;
-  }
-  return end.kind === "refused" || !end.cause.startsWith("aborted");
-}
-
 const UNSET_RAMP: RampLimits = {
   coldLimit: 1,
   slots: 1,
@@ -158,12 +135,12 @@
   const coldRate = createColdRate(timer, () => ({
     perSecond: settings()?.cold_rate_per_s ?? 1,
     coldMs: settings()?.cold_ms ?? DEFAULT_COLD_MS,
-    slots: knee.worthFilling(slots()),
+    slots: watch.worthFilling(slots()),
   }));
   const admission: Admission = createAdmission({
     timer,
     warmup,
-    holds: (usualMs) => slowSpell.holds(usualMs),
+    holds: (usualMs) => watch.holds(usualMs),
     limits: { connections: 1, queueLimit: 0, queueWaitMs: 1 },
   });
   const crashes = createCrashWatch({
@@ -178,11 +155,7 @@
     }),
     share: options.shareSuspicion,
   });
-  const slowNotice = createSlowNotice(timer);
-  const slowSpell = createSlowSpell(timer);
-  const usualTimes = createUsualTimes();
-  const failing = createFailingShare(timer);
-  const knee = createKnee(timer);
+  const watch = createServerWatch(timer);
   const link = createServerLink({
     timer,
     logger,
@@ -191,8 +164,7 @@
     healthPath: () => settings()?.health_path,
     onCold: coldRate.noteCold,
     onReport: (slowness) => {
-      slowNotice.report(slowness);
-      slowSpell.report(slowness);
+      watch.report(slowness);
       admission.pump();
     },
   });
@@ -310,7 +282,7 @@
         reportAgeMs: link.reportAgeMs,
         busy: admission.inFlight + admission.queued,
         allowed: warmup().allowed,
-        failingShare: failing.share(),
+        failingShare: watch.failingShare(),
       })
       : undefined;
   }
@@ -378,26 +350,6 @@
     link.noteVerdict(verdict);
   }
 
-  /** Learns from a request that began at some slowness beside others. */
-  function learnPace(
-    className: string,
-    latencyMs: number,
-    { slowness, busy }: { slowness: number; busy: number },
-  ): void {
-    const usualMs = usualTimes.of(className);
-    const all = slots();
-    const busyAtEnd = admission.inFlight;
-    if (usualMs > 0) {
-      const pace = latencyMs / (usualMs * Math.max(1, slowness));
-      knee.note({ busyAtStart: busy, busyAtEnd, slots: all, pace });
-    }
-    // What a nearly full server does must not become the usual.
-    const full = knee.nearlyFull(busy, all) || knee.nearlyFull(busyAtEnd, all);
-    if (!full || usualMs === 0) {
-      usualTimes.note(className, latencyMs, slowness);
-    }
-  }
-
   function noteCompletion(
     frame: Attempt,
     completion: Omit<Completion, "class">,
@@ -469,7 +421,7 @@
       objectiveAt: frame.objectiveLeftMs === undefined
         ? undefined
         : timer.now() + frame.objectiveLeftMs,
-      usualMs: usualTimes.of(frame.class),
+      usualMs: watch.usualMs(frame.class),
       alone,
       signal: gone,
     });
@@ -486,14 +438,17 @@
       await refuseStarted(channel, { frame, reason });
       return;
     }
-    const noticeEnd = slowNotice.begin(() => {
-      if (frame.repeatable && !channel.closed) {
-        void channel.send({ kind: "slow" }).catch(() => {});
-      }
+    const runWatch = watch.begin({
+      class: frame.class,
+      busy: admission.inFlight,
+      slots: slots(),
+      slowness: link.report?.slowness ?? 1,
+      onSlow() {
+        if (frame.repeatable && !channel.closed) {
+          void channel.send({ kind: "slow" }).catch(() => {});
+        }
+      },
     });
-    const slowness = link.report?.slowness ?? 1;
-    const busy = admission.inFlight;
-    const begunAt = timer.now();
     const run = runAttempt({
       channel,
       frame,
@@ -507,18 +462,14 @@
       onFailure: (error) => noteFailure(frame, error),
       onCompletion: (completion) => {
         if (completion.ok) {
-          learnPace(frame.class, completion.latencyMs, { slowness, busy });
+          runWatch.completed(completion.latencyMs, admission.inFlight);
         }
         noteCompletion(frame, completion);
       },
       onVerdict: noteVerdict,
     });
     const ending = run.ended.then((end) => {
-      noticeEnd();
-      failing.note(hasFailed(end, {
-        tookMs: timer.now() - begunAt,
-        usualMs: usualTimes.of(frame.class),
-      }));
+      runWatch.ended(end);
       verdict.place.release();
       if (end.kind === "refused") {
         ledger.set(attempt, "fenced");
--- a/src/guard/knee_test.ts
+++ b/src/guard/knee_test.ts
@@ -2,31 +2,26 @@
 import { createSeededRandom } from "../core/random.ts";
 import { createFakeTimer, type FakeTimer } from "../time/fake_timer.ts";
 import { createKnee, type Knee } from "./knee.ts";
-import { createUsualTimes } from "./usual_times.ts";
 
 const SLOTS = 12;
-const WORK_MS = 60;
 
 /** Notes requests beside any number of others; a full server slows by `x`. */
 async function play(knee: Knee, timer: FakeTimer, x: number): Promise<void> {
   const random = createSeededRandom(5);
-  const usual = createUsualTimes();
   for (let count = 0; count < 300; count++) {
     const busy = 1 + random.integer(knee.worthFilling(SLOTS));
     const spread = 0.7 + 0.6 * random.fraction();
     const unseen = random.fraction() < 0.03 ? 5 : 1;
     const slower = busy > 0.8 * SLOTS ? x : 1;
-    const latencyMs = WORK_MS * spread * unseen * slower;
-    const usualMs = usual.of("work") || WORK_MS;
+    const kind = random.integer(2) === 0 ? "short" : "long";
+    const workMs = kind === "short" ? 15 : 240;
     knee.note({
+      class: kind,
+      latencyMs: workMs * spread * unseen * slower,
       busyAtStart: busy,
       busyAtEnd: busy,
       slots: SLOTS,
-      pace: latencyMs / usualMs,
     });
-    if (!knee.nearlyFull(busy, SLOTS)) {
-      usual.note("work", latencyMs, 1);
-    }
     await timer.advance(10);
   }
 }
