--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -73,6 +73,22 @@
   }
 }
 
+/**
+ * Reports an end as an error if the connection does not exist any more. Where
+ * a reset comes together with the last bytes, the runtime tells only of an end;
+ * but a connection that its peer has ended in order still has that peer.
+ */
+function checkEnds(socket: Socket): void {
+  const emit = socket.emit.bind(socket) as Socket["emit"];
+  socket.emit = ((event: string, ...values: unknown[]) => {
+    if (event === "end" && socket.remoteAddress === undefined) {
+      socket.destroy(new Error("the connection was reset"));
+      return true;
+    }
+    return emit(event as "end", ...values as []);
+  }) as Socket["emit"];
+}
+
 /** Connects as the library does, but tells a reset from an end. */
 function connectorOf(timeoutMs: number): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs });
@@ -83,6 +99,7 @@
         return;
       }
       (socket as Socket).prependListener("error", nameReset);
+      checkEnds(socket as Socket);
       callback(null, socket);
     });
 }
--- a/src/guard/http_backend_test.ts
+++ b/src/guard/http_backend_test.ts
@@ -77,6 +77,15 @@
   t.equal(await stepOfFailure(server), "backend.reset");
 });
 
+test("an answer without a length whose reset comes with its bytes is not whole", async (t) => {
+  const server = await listen((socket) => {
+    socket.write(`${UNFRAMED}par`);
+    socket.resetAndDestroy();
+  });
+  t.teardown(() => server.close());
+  t.equal(await stepOfFailure(server), "backend.reset");
+});
+
 test("an answer that is shorter than its length is not whole", async (t) => {
   const server = await listen((socket) =>
     socket.end("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart")
