Show signs of life while a request waits at a guard

One that waited for 0.57 s was taken for lost 0.7 s after it was sent, while its server was at work on it. Ruled out: the end of the node (it cut nothing else), the deadline (the answer was 502, not 504).

dispatch_test.ts "waits long at a guard": 502 twice in six before, none after.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -414,6 +414,10 @@
     const { attempt } = frame;
     const suspicion = crashes.judge(frame.fingerprint);
     const alone = frame.suspect || suspicion === "suspect";
+    // A long wait must not look like a lost connection.
+    const keepalive = timer.every(keepaliveMs(), () => {
+      void channel.send({ kind: "pong" }).catch(() => {});
+    });
     const verdict = await admission.admit({
       tenant: frame.tenant,
       rank: frame.rank,
@@ -425,6 +429,7 @@
       alone,
       signal: gone,
     });
+    keepalive.cancel();
     if (verdict.kind === "refused") {
       await refuseStarted(channel, { frame, reason: verdict.reason });
       return;
--- a/tests/scenario/dispatch_test.ts
+++ b/tests/scenario/dispatch_test.ts
@@ -50,3 +50,26 @@
   t.ok(runs.some((count) => count === 2), "second attempts were made");
   t.ok(runs.every((count) => count <= 2), `runs: ${runs.join(" ")}`);
 });
+
+test("a request that waits long at a guard is not taken for lost", async (t) => {
+  const world = await startSmallWorld({
+    seed: 5,
+    servers: 2,
+    meanMs: 600,
+    retryRatio: 0,
+    queueWaitMs: 1_500,
+  });
+  const calls = [];
+  for (let count = 0; count < 6; count++) {
+    calls.push(world.call({ via: "vm1", path: `/look/${count}` }));
+  }
+  await world.timer.advance(4_000);
+  t.same(calls.map((call) => call.reply?.status), [
+    200,
+    200,
+    200,
+    200,
+    200,
+    200,
+  ]);
+});
--- a/tests/scenario/small_world.ts
+++ b/tests/scenario/small_world.ts
@@ -13,6 +13,8 @@
   meanMs?: number;
   /** Retries of work that may have run, per request. */
   retryRatio?: number;
+  /** Longest wait at a guard, in milliseconds. */
+  queueWaitMs?: number;
   /** Settings of the route to look. */
   look?: Partial<RoutePolicy>;
 }
@@ -32,6 +34,7 @@
       services: {
         [SERVICE]: {
           team: "work",
+          queue_wait_ms: options.queueWaitMs,
           routes: {
             look: {
               path: "/look/*",
