--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -10,7 +10,6 @@
 import { sleep, type Timer } from "../time/timer.ts";
 import type { Channel } from "../network/channel.ts";
 import type {
-  Answer,
   Attempt,
   AttemptId,
   Failed,
@@ -22,7 +21,7 @@
 import type { Directory } from "../node/directory.ts";
 import type { Service } from "../settings/site.ts";
 import { type Admission, createAdmission } from "./admission.ts";
-import { attemptKey, createAttemptLedger } from "./attempt_ledger.ts";
+import { createAttemptLedger } from "./attempt_ledger.ts";
 import type {
   BackendError,
   BackendFactory,
@@ -31,7 +30,7 @@
 import { type ColdRamp, createColdRamp, type RampLimits } from "./cold_ramp.ts";
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
-import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
+import { createResumption } from "./resumption.ts";
 import { runAttempt } from "./run.ts";
 import {
   type Announcement,
@@ -100,7 +99,6 @@
 }
 
 const LEDGER_CAPACITY = 50_000;
-const KEPT_ANSWER_BYTES = 8 * 1024 * 1024;
 const DRAIN_CHECK_MS = 10;
 const RETRY_AFTER_MS = 250;
 const DEFAULT_KEEPALIVE_MS = 100;
@@ -129,8 +127,13 @@
   const { vm, domain, incarnation, directory, timer, logger } = options;
   const { recorder } = options;
   const ledger = createAttemptLedger(LEDGER_CAPACITY);
-  const kept = createKeptAnswers(KEPT_ANSWER_BYTES);
-  const runningEnds = new Map<string, Promise<KeptEnd>>();
+  const resumption = createResumption({
+    incarnation,
+    ledger,
+    timer,
+    load,
+    keepaliveMs,
+  });
   const ramp: ColdRamp = createColdRamp(UNSET_RAMP);
   const coldRate = createColdRate(timer, () => ({
     perSecond: settings()?.cold_rate_per_s ?? 1,
@@ -481,19 +484,18 @@
         return shedEnding(end);
       }
       ledger.set(attempt, end.kind === "answer" ? "finished" : "failed");
-      kept.keep(end);
+      resumption.keep(end);
       if (alone && end.kind === "answer") {
         crashes.acquit(frame.fingerprint);
       }
       return end;
     });
-    const key = attemptKey(attempt);
-    runningEnds.set(key, ending);
+    const release = resumption.runs(attempt, ending);
     try {
       await run.delivered;
     } finally {
       await ending;
-      runningEnds.delete(key);
+      release();
     }
   }
 
@@ -509,41 +511,6 @@
     };
   }
 
-  async function serveResume(
-    channel: Channel,
-    request: { attempt: AttemptId; incarnation: string },
-  ): Promise<void> {
-    const { attempt } = request;
-    const unknown: Failed = {
-      kind: "failed",
-      attempt,
-      outcome: "unknown",
-      cause: "the answer is not kept",
-      crashed: false,
-      reached: true,
-      load: load(),
-    };
-    if (request.incarnation !== incarnation) {
-      await channel.send(unknown);
-      return;
-    }
-    const running = runningEnds.get(attemptKey(attempt));
-    const keepalive = timer.every(keepaliveMs(), () => {
-      void channel.send({ kind: "pong" }).catch(() => {});
-    });
-    const ending = await running?.finally(() => keepalive.cancel());
-    keepalive.cancel();
-    const end = kept.get(attempt) ?? ending;
-    const whole: Answer | Failed | undefined =
-      end?.kind === "answer" && end.streaming ? undefined : end;
-    await channel.send(
-      whole ? { ...whole, load: load() } : {
-        ...unknown,
-        outcome: ledger.get(attempt) === "finished" ? "ran" : "unknown",
-      },
-    );
-  }
-
   async function serveFrame(channel: Channel, frame: Frame): Promise<void> {
     switch (frame.kind) {
       case "attempt":
@@ -554,7 +521,7 @@
         return await channel.send({ kind: "fence_state", state });
       }
       case "resume":
-        return await serveResume(channel, frame);
+        return await resumption.serve(channel, frame);
       case "ping":
         return await channel.send({ kind: "pong", load: load() });
       case "suspicion":
--- /dev/null
+++ b/src/guard/resumption.ts
@@ -0,0 +1,89 @@
+/**
+ * Answers of attempts for those who lost their channel: what still runs is
+ * waited for, and what has ended is kept for a while.
+ * @module
+ */
+import type { Channel } from "../network/channel.ts";
+import type { Answer, AttemptId, Failed, Load } from "../network/frames.ts";
+import type { Timer } from "../time/timer.ts";
+import { attemptKey, type AttemptLedger } from "./attempt_ledger.ts";
+import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
+
+/** Options of {@link createResumption}. */
+export interface ResumptionOptions {
+  incarnation: string;
+  ledger: AttemptLedger;
+  timer: Timer;
+  load: () => Load;
+  /** Interval of signs of life while an attempt is waited for. */
+  keepaliveMs: () => number;
+}
+
+/** Answers of attempts for those who lost their channel. */
+export interface Resumption {
+  /** An attempt runs; call the result once its end was delivered. */
+  runs(attempt: AttemptId, ending: Promise<KeptEnd>): () => void;
+  /** Keeps the end of an attempt. */
+  keep(end: KeptEnd): void;
+  /** Sends the end of an attempt, as far as it is known. */
+  serve(
+    channel: Channel,
+    request: { attempt: AttemptId; incarnation: string },
+  ): Promise<void>;
+}
+
+const KEPT_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Creates a resumption that knows of no attempt. */
+export function createResumption(options: ResumptionOptions): Resumption {
+  const { incarnation, ledger, timer, load, keepaliveMs } = options;
+  const kept = createKeptAnswers(KEPT_ANSWER_BYTES);
+  const running = new Map<string, Promise<KeptEnd>>();
+
+  /** Waits for an attempt that runs, and shows that it is waited for. */
+  async function endOf(
+    channel: Channel,
+    attempt: AttemptId,
+  ): Promise<KeptEnd | undefined> {
+    const keepalive = timer.every(keepaliveMs(), () => {
+      void channel.send({ kind: "pong" }).catch(() => {});
+    });
+    const ending = await running.get(attemptKey(attempt))
+      ?.finally(() => keepalive.cancel());
+    keepalive.cancel();
+    return kept.get(attempt) ?? ending;
+  }
+
+  return {
+    runs(attempt, ending) {
+      const key = attemptKey(attempt);
+      running.set(key, ending);
+      return () => running.delete(key);
+    },
+    keep: kept.keep,
+    async serve(channel, { attempt, incarnation: meant }) {
+      const unknown: Failed = {
+        kind: "failed",
+        attempt,
+        outcome: "unknown",
+        cause: "the answer is not kept",
+        crashed: false,
+        reached: true,
+        load: load(),
+      };
+      if (meant !== incarnation) {
+        await channel.send(unknown);
+        return;
+      }
+      const end = await endOf(channel, attempt);
+      const whole: Answer | Failed | undefined =
+        end?.kind === "answer" && end.streaming ? undefined : end;
+      await channel.send(
+        whole ? { ...whole, load: load() } : {
+          ...unknown,
+          outcome: ledger.get(attempt) === "finished" ? "ran" : "unknown",
+        },
+      );
+    },
+  };
+}
--- a/src/guard/slow_spell.ts
+++ b/src/guard/slow_spell.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { Timer } from "../time/timer.ts";
-import { isSlow } from "./turn_away.ts";
+import { isSlow, REPORT_STALE_MS } from "./turn_away.ts";
 
 /** The slow spells of one server. */
 export interface SlowSpell {
@@ -18,8 +18,6 @@
 
 /** Length that a spell is expected to have at least, in milliseconds. */
 const EXPECTED_SPELL_MS = 100;
-/** Age past which a report says nothing of the present, in milliseconds. */
-const STALE_MS = 400;
 
 /** Creates the spells of a server that has reported nothing yet. */
 export function createSlowSpell(timer: Timer): SlowSpell {
@@ -36,7 +34,7 @@
       reportedAt = timer.now();
     },
     holds(usualMs) {
-      const fresh = timer.now() - reportedAt <= STALE_MS;
+      const fresh = timer.now() - reportedAt <= REPORT_STALE_MS;
       if (!fresh || !isSlow(slowness)) {
         return false;
       }
--- a/src/guard/turn_away.ts
+++ b/src/guard/turn_away.ts
@@ -24,8 +24,8 @@
 
 /** Multiple of the usual time from which a server counts as slow. */
 const SLOW = 1.8;
-/** Age past which a report of slowness says nothing of the present. */
-const STALE_MS = 400;
+/** Age past which a report of slowness says nothing of the present, in ms. */
+export const REPORT_STALE_MS = 400;
 /** Share of failures from which another server is the better place. */
 const FAILING_SHARE = 0.3;
 
@@ -40,7 +40,7 @@
   if (failingShare > FAILING_SHARE) {
     return "failing";
   }
-  if (isSlow(slowness) && reportAgeMs <= STALE_MS) {
+  if (isSlow(slowness) && reportAgeMs <= REPORT_STALE_MS) {
     return "slow";
   }
   return busy >= allowed ? "busy" : undefined;
--- a/src/ingress/keyed.ts
+++ b/src/ingress/keyed.ts
@@ -12,7 +12,7 @@
   type Reply,
   unknownReply,
 } from "./call.ts";
-import { attemptAt, type AttemptEnd, replyOf } from "./dispatch.ts";
+import { attemptAt, type AttemptEnd, replyOf } from "./attempt.ts";
 import type { IngressParts, RoutedCall } from "./ingress.ts";
 
 /** Source of attempts that are ordered by their claims. */
--- a/src/ingress/search_test.ts
+++ b/src/ingress/search_test.ts
@@ -1,21 +1,8 @@
 import { test } from "tap";
 import type { Member } from "../control/commands.ts";
+import { fakeMember } from "../control/fake_member.ts";
 import { createSearch } from "./search.ts";
 
-function membersNamed(...names: string[]): Member[] {
-  return names.map((server) => ({
-    server,
-    service: "work",
-    domain: "east",
-    region: "default",
-    address: `${server}:1`,
-    incarnation: "one",
-    boot: "boot",
-    slots: 8,
-    leaving: false,
-  }));
-}
-
 function searchAmong(members: Member[]) {
   return createSearch((avoid) =>
     members.find((member) => !avoid.has(member.server))
@@ -23,7 +10,7 @@
 }
 
 test("a request stays where it is sent once three guards turned it away", (t) => {
-  const search = searchAmong(membersNamed("a", "b", "c", "d", "e"));
+  const search = searchAmong(["a", "b", "c", "d", "e"].map(fakeMember));
   for (const expected of ["a", "b", "c"]) {
     const place = search.next()!;
     t.same([place.member.server, place.elsewhere], [expected, true]);
@@ -35,7 +22,7 @@
 });
 
 test("where all have been asked, those that only preferred not to are left", (t) => {
-  const search = searchAmong(membersNamed("a", "b"));
+  const search = searchAmong(["a", "b"].map(fakeMember));
   const first = search.next()!;
   search.turnedAway(first.member);
   t.equal(search.next()!.member.server, "b", "b refuses for good");
