Remember starts that left before their node knew them; a test for votes that move

Cause: found by taking mechanisms out. A node that has restarted acknowledged `draining` or a removal of a start that it had not heard of, and forgot it: a late `ready` call brought the start back. Node.leave returned before the guard could bar the start. A removal names no start, so that all starts of the instance up to then are barred. calls_test.ts "a start that has left does not come back": red before.

The demotion of a silent voter had no test; replica_test.ts "a replica that is gone loses its vote where that costs nothing" is red without it.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -80,6 +80,8 @@
   announce(announcement: Announcement): AnnouncementResult;
   /** The backend server leaves; resolves once nothing is in flight. */
   leave(boot: string): Promise<boolean>;
+  /** Takes no announcement of an instance that started by a Unix time. */
+  barInstance(instance: string, startedBy: number): void;
   /** Stops admitting; resolves once nothing is in flight. */
   drain(): Promise<void>;
   /** Another incarnation took this VM's place for good. */
@@ -581,6 +583,7 @@
       }
       return result;
     },
+    barInstance: link.barInstance,
     async leave(boot) {
       link.bar(boot);
       if (link.announced?.boot !== boot) {
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -64,6 +64,8 @@
   announce(next: Announcement): AnnouncementResult;
   /** Takes no announcement of a boot any more. */
   bar(boot: string): void;
+  /** Takes no announcement of an instance that started by a Unix time. */
+  barInstance(instance: string, startedBy: number): void;
   /** Notes that it does not answer; returns whether that is news. */
   markDown(): boolean;
   /** Checks its health once. */
@@ -84,6 +86,8 @@
 export function createServerLink(options: ServerLinkOptions): ServerLink {
   const { timer, logger } = options;
   const pastBoots = new Set<string>();
+  /** Latest start of each instance that is known to have left. */
+  const leftInstances = new Map<string, number>();
   let announced: Announcement | undefined;
   let backend: Backend | undefined;
   let down = false;
@@ -91,11 +95,17 @@
   let report: ServerReport | undefined;
   let reportedAt = -Infinity;
 
+  /** Whether an announcement is of a start that left before it was known. */
+  function hasLeft({ instance = "", startedAt = 0 }: Announcement): boolean {
+    const startedBy = leftInstances.get(instance);
+    return startedBy !== undefined && startedAt <= startedBy;
+  }
+
   function isOutdated(next: Announcement): boolean {
     if (announced?.boot === next.boot) {
       return next.sequence < announced.sequence;
     }
-    if (pastBoots.has(next.boot)) {
+    if (pastBoots.has(next.boot) || hasLeft(next)) {
       return true;
     }
     return announced?.startedAt !== undefined &&
@@ -185,6 +195,8 @@
       return "new";
     },
     bar: (boot) => pastBoots.add(boot),
+    barInstance: (instance, startedBy) =>
+      leftInstances.set(instance, startedBy),
     get report() {
       return report;
     },
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -73,6 +73,8 @@
   announce(announcement: Announcement): Promise<AnnouncementResult>;
   /** The backend server leaves; resolves once nothing is in flight. */
   leave(boot: string): Promise<boolean>;
+  /** An instance has left whose start is not known here. */
+  barInstance(instance: string): void;
   /** First half of a planned stop: says so, and takes no more attempts. */
   drain(): Promise<void>;
   /** Second half: closes everything. */
@@ -376,7 +378,8 @@
     },
     async leave(boot) {
       if (guard.announced?.boot !== boot) {
-        return false;
+        // A start that is not known here has left all the same.
+        return await guard.leave(boot);
       }
       leaving = true;
       const told = register();
@@ -385,6 +388,7 @@
       await registration.leave();
       return done;
     },
+    barInstance: (instance) => guard.barInstance(instance, timer.wallTime()),
     async drain() {
       stopping = true;
       const limits = directory.global?.limits.timeouts;
--- a/tests/control/replica_test.ts
+++ b/tests/control/replica_test.ts
@@ -331,3 +331,25 @@
   await lab.converge();
   t.same(lab.broken(), []);
 });
+
+test("a replica that is gone loses its vote where that costs nothing", async (t) => {
+  const lab = createLab({ seed: 18, replicas: 4 });
+  await lab.begin();
+  const followers = lab.cluster.vms
+    .map((vm) => vm.name)
+    .filter((name) => name !== lab.cluster.leader()!.name);
+  const voters = () =>
+    lab.cluster.leader()?.control.replica.status().voters.length;
+  lab.isolate(followers[0], true);
+  await lab.timer.advance(4_000);
+  t.equal(voters(), 4, "a short silence changes nothing");
+  await lab.until("it votes no more", () => voters() === 3);
+  lab.isolate(followers[1], true);
+  t.equal((await lab.change())?.kind, "accepted", "a second one may be lost");
+  await lab.timer.advance(10_000);
+  t.equal(voters(), 3, "of three voters none is let go");
+  lab.healAll();
+  await lab.until("all vote again", () => voters() === 4);
+  await lab.converge();
+  t.same(lab.broken(), []);
+});
--- a/tests/platform/calls_test.ts
+++ b/tests/platform/calls_test.ts
@@ -170,6 +170,22 @@
     t.equal(lab.process.node!.guard.announced?.instance, INSTANCE);
   });
 
+  await t.test("a start that has left does not come back", async (t) => {
+    const start = { born: 9_000 };
+    t.equal(
+      (await lab.beat({ ...start, state: "draining" }, "i-nine")).status,
+      200,
+      "the node has not heard of this start before",
+    );
+    t.equal((await lab.beat(start, "i-nine")).status, 409, "a late call");
+    const removed = await call(`${lab.beats}/instances/i-ten`, {
+      method: "DELETE",
+    });
+    t.equal(removed.status, 200);
+    t.equal((await lab.beat(start, "i-ten")).status, 409, "late again");
+    t.equal(lab.process.node!.guard.announced?.instance, INSTANCE);
+  });
+
   await t.test("a server that leaves gets nothing more", async (t) => {
     t.equal((await lab.beat({ state: "draining" })).status, 200);
     const seen = lab.seen.length;
