--- a/src/choosing/expected_wait.ts
+++ b/src/choosing/expected_wait.ts
@@ -3,16 +3,27 @@
  *
  * The work in flight at a server is one's own, plus a part of what others have
  * there as last reported; a report loses weight with age. Latency counts only
- * when it is clearly above the usual. Servers that score about the same are
+ * when it is clearly above the usual. The longer the answer will be, the more a
+ * server in the same failure domain is preferred. Servers that score about the same are
  * told apart at random, so that ingresses do not all choose the same one.
  * @module
  */
 import type { Random } from "../core/random.ts";
-import { type Candidate, type Policy, registerPolicy } from "./policy.ts";
+import {
+  type Candidate,
+  type Demand,
+  type Policy,
+  registerPolicy,
+  UNKNOWN_DEMAND,
+} from "./policy.ts";
 
 const MAX_COMPARED = 16;
 /** Share by which a remote server must be better than a local one. */
 const LOCAL_ADVANTAGE = 0.95;
+/** The same for a long answer, which costs its way between failure domains. */
+const LOCAL_ADVANTAGE_LONG = 0.6;
+/** Size from which an answer counts as long in full, in bytes. */
+const LONG_ANSWER_BYTES = 64 * 1024;
 /** Utilization from which a local server has no advantage. */
 const SPILL_UTILIZATION = 0.7;
 /** Weight of a server's recent failures against its latency. */
@@ -34,17 +45,27 @@
 class ExpectedWaitPolicy implements Policy {
   constructor(private readonly staleAfterMs: () => number) {}
 
-  choose(candidates: readonly Candidate[], random: Random): Candidate {
+  choose(
+    candidates: readonly Candidate[],
+    random: Random,
+    demand: Demand = UNKNOWN_DEMAND,
+  ): Candidate {
     const compared = sample(candidates, random);
-    const usual = median(compared.map((candidate) => candidate.latencyMs));
-    const scores = compared.map((candidate) => this.score(candidate, usual));
+    const usualMs = median(compared.map((candidate) => candidate.latencyMs));
+    const advantage = localAdvantage(demand);
+    const scores = compared.map((candidate) =>
+      this.score(candidate, { usualMs, advantage })
+    );
     const limit = Math.min(...scores) * EQUAL_SHARE;
     const equal = compared.filter((_, index) => scores[index] <= limit);
     return equal[random.integer(equal.length)];
   }
 
   /** Expected time to an answer, as a multiple of the usual one. */
-  private score(candidate: Candidate, usualMs: number): number {
+  private score(
+    candidate: Candidate,
+    { usualMs, advantage }: { usualMs: number; advantage: number },
+  ): number {
     const { own, reported, queued, ownAtReport, ageMs } = candidate;
     const weight = Number.isFinite(ageMs)
       ? 1 / (1 + ageMs / this.staleAfterMs())
@@ -63,10 +84,16 @@
     const wait = Math.max(slowness, candidate.slowness) * unreliability *
       (1 + UTILIZATION_WEIGHT * utilization ** 2 + EXCESS_WEIGHT * excess);
     const preferred = candidate.local && utilization < SPILL_UTILIZATION;
-    return preferred ? wait * LOCAL_ADVANTAGE : wait;
+    return preferred ? wait * advantage : wait;
   }
 }
 
+/** Factor on the expected wait at a local server; below 1. */
+function localAdvantage({ answerBytes }: Demand): number {
+  const long = Math.min(1, answerBytes / LONG_ANSWER_BYTES);
+  return LOCAL_ADVANTAGE + long * (LOCAL_ADVANTAGE_LONG - LOCAL_ADVANTAGE);
+}
+
 function median(values: readonly number[]): number {
   const sorted = [...values].sort((one, other) => one - other);
   return sorted[Math.floor((sorted.length - 1) / 2)];
--- a/src/choosing/expected_wait_test.ts
+++ b/src/choosing/expected_wait_test.ts
@@ -20,6 +20,7 @@
 function shareOfFirst(
   candidates: Partial<Candidate>[],
   staleAfterMs = 200,
+  answerBytes = 0,
 ): number {
   const policy = createPolicy("expected_wait", {
     staleAfterMs: () => staleAfterMs,
@@ -32,7 +33,7 @@
   }));
   let first = 0;
   for (let count = 0; count < 1_000; count++) {
-    first += policy.choose(all, random) === all[0] ? 1 : 0;
+    first += policy.choose(all, random, { answerBytes }) === all[0] ? 1 : 0;
   }
   return first / 1_000;
 }
@@ -65,6 +66,17 @@
   t.end();
 });
 
+test("a long answer is fetched near by, unless that is slow or full", (t) => {
+  const long = 90_000;
+  const near = { local: true, own: 6 };
+  const far = { own: 1 };
+  t.equal(shareOfFirst([near, far], 200, 500), 0, "a short one is not");
+  t.equal(shareOfFirst([near, far], 200, long), 1);
+  t.equal(shareOfFirst([{ ...near, slowness: 5 }, far], 200, long), 0);
+  t.equal(shareOfFirst([{ ...near, own: 10 }, far], 200, long), 0);
+  t.end();
+});
+
 test("policies register by name, and an unknown one is an error", (t) => {
   t.ok(policyNames().includes("round_robin"));
   t.throws(
--- a/src/choosing/mod.ts
+++ b/src/choosing/mod.ts
@@ -8,6 +8,7 @@
 export {
   type Candidate,
   createPolicy,
+  type Demand,
   type Policy,
   policyNames,
 } from "./policy.ts";
--- a/src/choosing/policy.ts
+++ b/src/choosing/policy.ts
@@ -31,10 +31,23 @@
   failures: number;
 }
 
+/** What is asked of the chosen one. */
+export interface Demand {
+  /** Size that the answer usually has, in bytes; 0 if that is unknown. */
+  answerBytes: number;
+}
+
+/** A demand of which nothing is known. */
+export const UNKNOWN_DEMAND: Demand = { answerBytes: 0 };
+
 /** Chooses among candidates. */
 export interface Policy {
   /** Returns the chosen one; `candidates` is never empty. */
-  choose(candidates: readonly Candidate[], random: Random): Candidate;
+  choose(
+    candidates: readonly Candidate[],
+    random: Random,
+    demand?: Demand,
+  ): Candidate;
 }
 
 /** What a policy may depend on; read at each choice, since it may change. */
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -158,6 +158,9 @@
     }
     const ok = last.answer.status < FIRST_SERVER_ERROR;
     finish({ latencyMs, ok, load });
+    if (ok) {
+      parts.sizes.note(settings.class, last);
+    }
     return { kind: "answer", received: last, member };
   }
 }
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -111,7 +111,7 @@
   async function run(routed: RoutedCall): Promise<Reply> {
     const { call, route, deadlineAt } = routed;
     const { stream, started } = watched(routed);
-    const search = createSearch((avoid) => parts.choose(route.service, avoid));
+    const search = createSearch((avoid) => parts.choose(routed, avoid));
     let mayHaveRun = false;
     let crashes = 0;
     let last: AttemptEnd | undefined;
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -99,7 +99,7 @@
     const firstEnded = await endsInTime(attempts[0], { delayMs, slow });
     const other = firstEnded
       ? undefined
-      : parts.choose(routed.route.service, new Set([...tried, member.server]));
+      : parts.choose(routed, new Set([...tried, member.server]));
     const hedge = budgets.of(routed.route.service).hedge;
     if (!firstEnded && other && hedge.take()) {
       metrics.count("hedges");
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -16,6 +16,7 @@
 import type { Directory, FoundRoute } from "../node/directory.ts";
 import type { Timer } from "../time/timer.ts";
 import type { RoutePolicy, Service } from "../settings/site.ts";
+import { type AnswerSizes, createAnswerSizes } from "./answer_sizes.ts";
 import { createServiceBudgets } from "./budget.ts";
 import { type Call, notRunReply, type Reply, unknownReply } from "./call.ts";
 import { createDispatcher } from "./dispatch.ts";
@@ -86,7 +87,9 @@
 /** The parts of an ingress that its modules share. */
 export interface IngressParts extends IngressOptions {
   hints: Hints;
-  choose(service: string, avoid: ReadonlySet<string>): Member | undefined;
+  sizes: AnswerSizes;
+  /** Chooses a backend server for a request, but for some. */
+  choose(routed: RoutedCall, avoid: ReadonlySet<string>): Member | undefined;
   attemptFrame(routed: RoutedCall, options: FrameOptions): Attempt;
 }
 
@@ -124,6 +127,7 @@
 export function createIngress(options: IngressOptions): Ingress {
   const { directory, domain, timer, random, metrics } = options;
   const hints = createHints(timer);
+  const sizes = createAnswerSizes();
   const policy: Policy = createPolicy(options.policy ?? DEFAULT_POLICY, {
     staleAfterMs: () =>
       directory.global?.limits.measuring.load_stale_after_ms ?? Infinity,
@@ -151,10 +155,10 @@
   directory.onChange((change) => change.services.forEach(noteReplacements));
 
   function choose(
-    service: string,
+    { route, settings }: RoutedCall,
     avoid: ReadonlySet<string>,
   ): Member | undefined {
-    const members = directory.service(service)?.members ?? [];
+    const members = directory.service(route.service)?.members ?? [];
     const open = members.filter((member) =>
       directory.inService(member) && !avoid.has(member.server)
     );
@@ -163,7 +167,9 @@
     }
     const candidates = open.map((one) => hints.candidate(one, domain));
     const chosen = warming(open, candidates) ??
-      policy.choose(candidates, random);
+      policy.choose(candidates, random, {
+        answerBytes: sizes.of(settings.class),
+      });
     return open.find((member) => member.server === chosen.server);
   }
 
@@ -219,7 +225,13 @@
     };
   }
 
-  const parts: IngressParts = { ...options, hints, choose, attemptFrame };
+  const parts: IngressParts = {
+    ...options,
+    hints,
+    sizes,
+    choose,
+    attemptFrame,
+  };
   const budgets = createServiceBudgets(() => ({
     retry: directory.global?.limits.retry,
     fleetSize: directory.fleetSize,
--- a/src/ingress/keyed.ts
+++ b/src/ingress/keyed.ts
@@ -129,7 +129,7 @@
     keyed: { key: string; progress: Progress },
   ): Promise<Reply | undefined> {
     const { key, progress } = keyed;
-    const member = parts.choose(routed.route.service, progress.tried);
+    const member = parts.choose(routed, progress.tried);
     if (!member) {
       const reason = progress.tried.size > 0
         ? "overloaded"
