Let guards estimate waits: short ones stay, long ones are refused at once

With all fast servers 'busy', a request was turned away three times and then stayed at a guard that the policy chose, often one in a slow spell. A refusal named a constant 250 ms.

Change: admission works out the expected wait (queue before the request, time for which places are held, slow spell, cold pause). A wait of up to 15 ms that the objective bears is taken; longer ones are told with the refusal, and the search goes to the guard with the shortest. What would wait longer than its patience is refused at once, with that wait as the time to come back. Refusals that only say 'elsewhere' are not sent to control as events any more.

Ruled out: the knee (this site has none).

--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -8,12 +8,15 @@
 import type { Timer } from "../time/timer.ts";
 import type { Subscription } from "../time/timer.ts";
 import type { Warmup } from "./warmup.ts";
-import { createFairQueue, type Waiting } from "./queue.ts";
+import { expectedWaitMs } from "./expected_wait.ts";
+import { createFairQueue, type Standing, type Waiting } from "./queue.ts";
 
 /** Share of the usual time that a request takes at least. */
 const LEAST_SHARE = 0.6;
 /** Share of its time that a request waits when it can't be in time any more. */
-const LATE_PATIENCE_SHARE = 0.4;
+const LATE_PATIENCE_SHARE = 0.3;
+/** Weight of one request in the usual time for which places are held. */
+const PLACE_WEIGHT = 0.05;
 
 /** Limits of admission. */
 export interface AdmissionLimits {
@@ -51,7 +54,12 @@
 /** Whether a request may run. */
 export type Verdict =
   | { kind: "admitted"; place: Place }
-  | { kind: "refused"; reason: RefusalReason };
+  | {
+    kind: "refused";
+    reason: RefusalReason;
+    /** Time after which a place is likely, if that is known, in ms. */
+    waitMs?: number;
+  };
 
 /** Admission at one guard. */
 export interface Admission {
@@ -59,6 +67,8 @@
   readonly inFlight: number;
   /** Requests that wait. */
   readonly queued: number;
+  /** Time that a request will probably wait, in milliseconds. */
+  expectedWaitMs(applicant: Applicant): number;
   /** Decides about a request, at once or after a short wait. */
   admit(applicant: Applicant): Promise<Verdict>;
   /** Starts waiting requests that may run by now. */
@@ -74,19 +84,20 @@
   timer: Timer;
   /** The warm-up that is in force. */
   warmup: () => Warmup;
-  /** Whether work that usually takes some time had better wait. */
-  holds?: (usualMs: number) => boolean;
+  /** Time for which work had better wait for a faster server, in ms. */
+  holdMs?: (usualMs: number) => number;
   limits: AdmissionLimits;
 }
 
 /** Creates admission with nothing running. */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const { timer, warmup, holds = () => false } = options;
+  const { timer, warmup, holdMs = () => 0 } = options;
   let { limits } = options;
   const queue = createFairQueue();
   const lonely: Waiting[] = [];
   const running = new Map<string, number>();
   let inFlight = 0;
+  let placeMs = 0;
   let aloneRunning = false;
   let pausePump: Subscription | undefined;
 
@@ -103,12 +114,17 @@
       warmup().pauseMs === 0;
   }
 
+  function notePlace(heldMs: number): void {
+    placeMs += (placeMs === 0 ? 1 : PLACE_WEIGHT) * (heldMs - placeMs);
+  }
+
   function occupy(applicant: Applicant): Place {
     const { tenant, alone } = applicant;
     inFlight++;
     warmup().started();
     aloneRunning = alone;
     running.set(tenant, runningOf(tenant) + 1);
+    const startedAt = timer.now();
     let released = false;
     return {
       release() {
@@ -117,6 +133,7 @@
         }
         released = true;
         inFlight--;
+        notePlace(timer.now() - startedAt);
         if (alone) {
           aloneRunning = false;
         }
@@ -171,6 +188,42 @@
     return Math.max(inTime, left * LATE_PATIENCE_SHARE);
   }
 
+  /** How a request stands in the queue, apart from what it waits for. */
+  function standingOf(applicant: Applicant): Standing {
+    const { tenant, rank, deadlineAt, usualMs = 0 } = applicant;
+    return {
+      tenant,
+      rank,
+      deadlineAt,
+      inTime: () =>
+        timer.now() + usualMs <= (applicant.objectiveAt ?? Infinity),
+      fits: () => holdMs(usualMs) === 0,
+    };
+  }
+
+  function waitOf(applicant: Applicant): number {
+    const { usualMs = 0 } = applicant;
+    return expectedWaitMs({
+      ahead: queue.countBefore(standingOf(applicant)) + lonely.length,
+      inFlight,
+      allowed: allowed(),
+      placeMs,
+      holdMs: holdMs(usualMs),
+      pauseMs: warmup().pauseMs,
+    });
+  }
+
+  /** Longest time that a request is let wait. */
+  function longestWaitOf(applicant: Applicant): number {
+    const { deadlineAt, usualMs = 0 } = applicant;
+    const startBy = deadlineAt - usualMs * LEAST_SHARE;
+    return Math.min(
+      limits.queueWaitMs,
+      patienceOf(applicant),
+      startBy - timer.now(),
+    );
+  }
+
   function reasonForFull(): RefusalReason {
     if (inFlight >= limits.connections) {
       return "no_connection";
@@ -180,15 +233,8 @@
 
   function wait(applicant: Applicant): Promise<Verdict> {
     return new Promise((resolve) => {
-      const { tenant, rank, deadlineAt, alone, signal } = applicant;
-      const usualMs = applicant.usualMs ?? 0;
-      const startBy = deadlineAt - usualMs * LEAST_SHARE;
-      const longest = Math.min(
-        limits.queueWaitMs,
-        patienceOf(applicant),
-        startBy - timer.now(),
-      );
-      const timeout = timer.after(longest, () => {
+      const { alone, signal } = applicant;
+      const timeout = timer.after(longestWaitOf(applicant), () => {
         remove();
         waiting.refuse();
       });
@@ -210,14 +256,14 @@
         resolve(verdict);
       }
       const waiting: Waiting = {
-        tenant,
-        rank,
-        deadlineAt,
-        inTime: () =>
-          timer.now() + usualMs <= (applicant.objectiveAt ?? Infinity),
-        fits: () => !holds(usualMs),
+        ...standingOf(applicant),
         start: () => finish({ kind: "admitted", place: occupy(applicant) }),
-        refuse: () => finish({ kind: "refused", reason: refusalReason }),
+        refuse: () =>
+          finish({
+            kind: "refused",
+            reason: refusalReason,
+            waitMs: waitOf(applicant),
+          }),
       };
       let release = (): void => {};
       let refusalReason: RefusalReason = reasonForFull();
@@ -253,13 +299,20 @@
       }
       const free = applicant.alone
         ? inFlight === 0 && lonely.length === 0
-        : hasRoom() && queue.size === 0 && !holds(usualMs);
+        : hasRoom() && queue.size === 0 && holdMs(usualMs) === 0;
       if (free) {
         const place = occupy(applicant);
         return Promise.resolve({ kind: "admitted", place });
       }
+      const waitMs = waitOf(applicant);
+      if (!applicant.alone && waitMs > longestWaitOf(applicant)) {
+        // It would only wait in vain.
+        const reason = reasonForFull();
+        return Promise.resolve({ kind: "refused", reason, waitMs });
+      }
       return wait(applicant);
     },
+    expectedWaitMs: waitOf,
     pump,
     refuseWaiting(reason) {
       for (const waiting of [...queue.drain(), ...lonely.splice(0)]) {
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -20,7 +20,11 @@
 } from "../network/frames.ts";
 import type { Directory } from "../node/directory.ts";
 import type { Service } from "../settings/site.ts";
-import { type Admission, createAdmission } from "./admission.ts";
+import {
+  type Admission,
+  type Applicant,
+  createAdmission,
+} from "./admission.ts";
 import { createAttemptLedger } from "./attempt_ledger.ts";
 import type {
   BackendError,
@@ -100,6 +104,12 @@
   readonly quietMs: number;
 }
 
+/** Why an attempt did not run, and when a place is likely, if known. */
+interface Refusal {
+  reason: RefusalReason;
+  waitMs?: number;
+}
+
 const LEDGER_CAPACITY = 50_000;
 const DRAIN_CHECK_MS = 10;
 const RETRY_AFTER_MS = 250;
@@ -145,7 +155,7 @@
   const admission: Admission = createAdmission({
     timer,
     warmup,
-    holds: (usualMs) => watch.holds(usualMs),
+    holdMs: (usualMs) => watch.holdMs(usualMs),
     limits: { connections: 1, queueLimit: 0, queueWaitMs: 1 },
   });
   const crashes = createCrashWatch({
@@ -280,25 +290,51 @@
   }
 
   /** Why another guard is the better place, if the sender will ask one. */
-  function betterElsewhere(frame: Attempt): RefusalReason | undefined {
+  function betterElsewhere(
+    frame: Attempt,
+    waitMs: number,
+  ): RefusalReason | undefined {
+    const { objectiveLeftMs = Infinity } = frame;
     return frame.elsewhere
       ? turnsAway({
         slowness: link.report?.slowness ?? 1,
         reportAgeMs: link.reportAgeMs,
-        busy: admission.inFlight + admission.queued,
-        allowed: warmup().allowed,
+        waitMs,
+        slackMs: objectiveLeftMs - watch.usualMs(frame.class),
         failingShare: watch.failingShare(),
       })
       : undefined;
   }
 
+  /** The attempt as it asks to run. */
+  function applicantOf(
+    frame: Attempt,
+    options: { alone: boolean; signal: Cancellation },
+  ): Applicant {
+    const { objectiveLeftMs } = frame;
+    const now = timer.now();
+    return {
+      tenant: frame.tenant,
+      rank: frame.rank,
+      deadlineAt: now + frame.timeLeftMs,
+      objectiveAt: objectiveLeftMs === undefined
+        ? undefined
+        : now + objectiveLeftMs,
+      usualMs: watch.usualMs(frame.class),
+      ...options,
+    };
+  }
+
   /** Creates a refusal of an attempt that the ledger holds as fenced. */
-  function refusal(attempt: AttemptId, reason: RefusalReason): Refused {
+  function refusal(
+    attempt: AttemptId,
+    { reason, waitMs }: Refusal,
+  ): Refused {
     return {
       kind: "refused",
       attempt,
       reason,
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: waitMs ?? RETRY_AFTER_MS,
       load: load(),
     };
   }
@@ -375,11 +411,22 @@
     if (frame.version > directory.version) {
       options.onNewerVersion(frame.version, frame.from);
     }
-    const reason = standing(frame) ?? betterElsewhere(frame);
-    const begun = reason ? ledger.fence(attempt) : ledger.start(attempt);
+    const reason = standing(frame);
+    const waitMs = reason ? undefined : admission.expectedWaitMs(
+      applicantOf(frame, { alone: false, signal: createCanceller() }),
+    );
+    const away = waitMs === undefined
+      ? undefined
+      : betterElsewhere(frame, waitMs);
+    const begun = reason ?? away
+      ? ledger.fence(attempt)
+      : ledger.start(attempt);
     if (begun === "fenced") {
-      recordRefusal(frame, reason ?? "fenced");
-      await channel.send(refusal(attempt, reason ?? "fenced"));
+      if (!away) {
+        recordRefusal(frame, reason ?? "fenced");
+      }
+      const why = reason ?? away ?? "fenced";
+      await channel.send(refusal(attempt, { reason: why, waitMs }));
       return;
     }
     if (begun !== "started") {
@@ -393,12 +440,12 @@
   /** Refuses an attempt that the ledger took in, but that did not run. */
   async function refuseStarted(
     channel: Channel,
-    { frame, reason }: { frame: Attempt; reason: RefusalReason },
+    { frame, refused }: { frame: Attempt; refused: Refusal },
   ): Promise<void> {
     ledger.set(frame.attempt, "fenced");
-    recordRefusal(frame, reason);
+    recordRefusal(frame, refused.reason);
     if (!channel.closed) {
-      await channel.send(refusal(frame.attempt, reason));
+      await channel.send(refusal(frame.attempt, refused));
     }
   }
 
@@ -423,20 +470,12 @@
     const keepalive = timer.every(keepaliveMs(), () => {
       void channel.send({ kind: "pong" }).catch(() => {});
     });
-    const verdict = await admission.admit({
-      tenant: frame.tenant,
-      rank: frame.rank,
-      deadlineAt: timer.now() + frame.timeLeftMs,
-      objectiveAt: frame.objectiveLeftMs === undefined
-        ? undefined
-        : timer.now() + frame.objectiveLeftMs,
-      usualMs: watch.usualMs(frame.class),
-      alone,
-      signal: gone,
-    });
+    const verdict = await admission.admit(
+      applicantOf(frame, { alone, signal: gone }),
+    );
     keepalive.cancel();
     if (verdict.kind === "refused") {
-      await refuseStarted(channel, { frame, reason: verdict.reason });
+      await refuseStarted(channel, { frame, refused: verdict });
       return;
     }
     // The standing may have changed during the wait.
@@ -445,7 +484,7 @@
     if (late || !backend) {
       verdict.place.release();
       const reason = late ?? "no_backend_server";
-      await refuseStarted(channel, { frame, reason });
+      await refuseStarted(channel, { frame, refused: { reason } });
       return;
     }
     const runWatch = watch.begin({
--- a/src/guard/queue.ts
+++ b/src/guard/queue.ts
@@ -7,8 +7,8 @@
  * @module
  */
 
-/** One waiting request. */
-export interface Waiting {
+/** How a request stands among others. */
+export interface Standing {
   tenant: string;
   /** Rank; 0 goes first. */
   rank: number;
@@ -18,6 +18,10 @@
   inTime(): boolean;
   /** Whether it may begin now. */
   fits(): boolean;
+}
+
+/** One waiting request. */
+export interface Waiting extends Standing {
   /** Starts the request. */
   start(): void;
   /** Gives the request up as not run. */
@@ -36,6 +40,8 @@
   add(request: Waiting, bound: number): boolean;
   /** Takes the next request that fits, of the tenant with least running. */
   take(runningOf: (tenant: string) => number): Waiting | undefined;
+  /** Number of waiting requests that go before one that would be added. */
+  countBefore(request: Standing): number;
   /** Removes a request; returns whether it was there. */
   remove(request: Waiting): boolean;
   /** Empties the queue. */
@@ -43,14 +49,14 @@
 }
 
 /** Whether a request is worth more than another, whatever their deadlines. */
-function outranks(one: Waiting, other: Waiting): boolean {
+function outranks(one: Standing, other: Standing): boolean {
   return one.rank === other.rank
     ? one.inTime() && !other.inTime()
     : one.rank < other.rank;
 }
 
 /** Whether a request goes before another of the same tenant. */
-function goesBefore(one: Waiting, other: Waiting): boolean {
+function goesBefore(one: Standing, other: Standing): boolean {
   if (outranks(one, other) || outranks(other, one)) {
     return outranks(one, other);
   }
@@ -156,6 +162,13 @@
       }
       return best;
     },
+    countBefore(request) {
+      let count = 0;
+      for (const list of tenants.values()) {
+        count += list.filter((one) => goesBefore(one, request)).length;
+      }
+      return count;
+    },
     remove,
     drain() {
       const all = [...tenants.values()].flat();
--- a/src/guard/server_watch.ts
+++ b/src/guard/server_watch.ts
@@ -37,8 +37,8 @@
   report(slowness: number): void;
   /** Time that a kind of request usually takes, in ms; 0 while unknown. */
   usualMs(className: string): number;
-  /** Whether work that usually takes some time had better wait. */
-  holds(usualMs: number): boolean;
+  /** Time for which work had better wait for a faster server, in ms. */
+  holdMs(usualMs: number): number;
   /** How many of its slots are worth filling. */
   worthFilling(slots: number): number;
   /** Share of recent requests that it failed or turned away. */
@@ -91,7 +91,7 @@
       spell.report(slowness);
     },
     usualMs: usual.of,
-    holds: spell.holds,
+    holdMs: spell.holdMs,
     worthFilling: knee.worthFilling,
     failingShare: failing.share,
     begin(beginning) {
--- a/src/guard/slow_spell.ts
+++ b/src/guard/slow_spell.ts
@@ -12,8 +12,11 @@
 export interface SlowSpell {
   /** The server has reported its present slowness. */
   report(slowness: number): void;
-  /** Whether work that usually takes some time had better wait. */
-  holds(usualMs: number): boolean;
+  /**
+   * Time for which work that usually takes some time had better wait, as
+   * expected, in milliseconds; 0 if it had better begin.
+   */
+  holdMs(usualMs: number): number;
 }
 
 /** Length that a spell is expected to have at least, in milliseconds. */
@@ -33,14 +36,14 @@
       slowness = next;
       reportedAt = timer.now();
     },
-    holds(usualMs) {
+    holdMs(usualMs) {
       const fresh = timer.now() - reportedAt <= REPORT_STALE_MS;
       if (!fresh || !isSlow(slowness)) {
-        return false;
+        return 0;
       }
       // The longer a spell has lasted, the longer it is likely to go on.
       const expectedMs = Math.max(EXPECTED_SPELL_MS, timer.now() - since);
-      return (slowness - 1) * usualMs > expectedMs;
+      return (slowness - 1) * usualMs > expectedMs ? expectedMs : 0;
     },
   };
 }
--- a/src/guard/slow_spell_test.ts
+++ b/src/guard/slow_spell_test.ts
@@ -32,7 +32,7 @@
   const admission = createAdmission({
     timer,
     warmup: () => rate,
-    holds: (usualMs) => options.waits && spell.holds(usualMs),
+    holdMs: (usualMs) => options.waits ? spell.holdMs(usualMs) : 0,
     limits: { connections: 50, queueLimit: 24, queueWaitMs: 150 },
   });
   timer.every(REPORT_MS, () => {
@@ -79,13 +79,13 @@
   const timer = createFakeTimer();
   const spell = createSlowSpell(timer);
   spell.report(FACTOR);
-  t.ok(spell.holds(WORK_MS));
-  t.notOk(spell.holds(15), "a call of 15 ms ends sooner than the spell");
+  t.ok(spell.holdMs(WORK_MS) > 0);
+  t.equal(spell.holdMs(15), 0, "a call of 15 ms ends sooner than the spell");
   for (let at = 0; at < 1_000; at += REPORT_MS) {
     await timer.advance(REPORT_MS);
     spell.report(FACTOR);
   }
-  t.notOk(spell.holds(WORK_MS), "it has been slow for a second");
+  t.equal(spell.holdMs(WORK_MS), 0, "it has been slow for a second");
   await timer.advance(1_000);
-  t.notOk(spell.holds(10_000), "what was reported long ago says nothing");
+  t.equal(spell.holdMs(10_000), 0, "what was reported long ago says nothing");
 });
--- a/src/guard/turn_away.ts
+++ b/src/guard/turn_away.ts
@@ -14,10 +14,13 @@
   slowness: number;
   /** Age of that figure in milliseconds. */
   reportAgeMs: number;
-  /** Requests that run or wait. */
-  busy: number;
-  /** Requests that may run at once. */
-  allowed: number;
+  /** Time that the request will probably wait here, in milliseconds. */
+  waitMs: number;
+  /**
+   * Time that it can wait and still be answered within its objective, in
+   * milliseconds; infinite without an objective.
+   */
+  slackMs: number;
   /** Share of recent requests that the server failed or turned away. */
   failingShare: number;
 }
@@ -29,6 +32,9 @@
 /** Share of failures from which another server is the better place. */
 const FAILING_SHARE = 0.3;
 
+/** Wait that is worth less than asking another guard, in milliseconds. */
+const SHORT_WAIT_MS = 15;
+
 /** Whether work takes so much longer than usual that it matters. */
 export function isSlow(slowness: number): boolean {
   return slowness >= SLOW;
@@ -36,14 +42,15 @@
 
 /** Returns why a request had better go elsewhere, if so. */
 export function turnsAway(moment: Moment): RefusalReason | undefined {
-  const { slowness, reportAgeMs, busy, allowed, failingShare } = moment;
+  const { slowness, reportAgeMs, waitMs, slackMs, failingShare } = moment;
   if (failingShare > FAILING_SHARE) {
     return "failing";
   }
   if (isSlow(slowness) && reportAgeMs <= REPORT_STALE_MS) {
     return "slow";
   }
-  return busy >= allowed ? "busy" : undefined;
+  const bearableMs = Math.min(SHORT_WAIT_MS, Math.max(0, slackMs));
+  return waitMs > bearableMs ? "busy" : undefined;
 }
 
 /** Whether a refusal only says that elsewhere may be better. */
--- a/src/guard/turn_away_test.ts
+++ b/src/guard/turn_away_test.ts
@@ -6,8 +6,8 @@
 const FINE: Moment = {
   slowness: 1,
   reportAgeMs: 10,
-  busy: 3,
-  allowed: 9,
+  waitMs: 0,
+  slackMs: 100,
   failingShare: 0,
 };
 
@@ -20,7 +20,17 @@
     undefined,
     "an old report says nothing",
   );
-  t.equal(turnsAway({ ...FINE, busy: 9 }), "busy");
+  t.equal(turnsAway({ ...FINE, waitMs: 60 }), "busy");
+  t.equal(
+    turnsAway({ ...FINE, waitMs: 8 }),
+    undefined,
+    "a turn away is longer",
+  );
+  t.equal(
+    turnsAway({ ...FINE, waitMs: 8, slackMs: 3 }),
+    "busy",
+    "it would miss its objective by waiting",
+  );
   t.equal(turnsAway({ ...FINE, failingShare: 0.5 }), "failing");
   t.ok(isTurnedAway("slow") && isTurnedAway("busy") && isTurnedAway("failing"));
   t.notOk(isTurnedAway("overloaded"));
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -36,12 +36,16 @@
 /** Time in a queue after which no second one is tried. */
 const LONG_WAIT_MS = 30;
 /**
- * Whether a request waited in a queue in vain: its caller is told at once,
+ * Whether there is no place for a request: it waited in a queue in vain, or
+ * was refused by the guard with the shortest wait. Its caller is told at once,
  * rather than after another wait elsewhere.
  */
-function hasWaited(end: AttemptEnd, waitedMs: number): boolean {
+function hasNoPlace(
+  end: AttemptEnd,
+  { waitedMs, wasBest }: { waitedMs: number; wasBest: boolean },
+): boolean {
   return end.kind === "not_run" && QUEUE_REFUSALS.has(end.cause) &&
-    waitedMs > LONG_WAIT_MS;
+    (wasBest || waitedMs > LONG_WAIT_MS);
 }
 
 /** Why a request that did not run is refused to its caller. */
@@ -165,11 +169,12 @@
       if (started() || !retryable(end, routed)) {
         break;
       }
-      if (hasWaited(end, timer.now() - askedAt)) {
+      const waitedMs = timer.now() - askedAt;
+      if (hasNoPlace(end, { waitedMs, wasBest: !elsewhere })) {
         break;
       }
       if (end.kind === "not_run" && isTurnedAway(end.cause)) {
-        search.turnedAway(member);
+        search.turnedAway(member, end.retryAfterMs);
         metrics.count("turned_away");
         continue;
       }
--- a/src/ingress/search.ts
+++ b/src/ingress/search.ts
@@ -18,8 +18,11 @@
   readonly tried: Set<string>;
   /** Returns the next place, if there is one. */
   next(): Place | undefined;
-  /** A guard would run the request, but said that another is better. */
-  turnedAway(member: Member): void;
+  /**
+   * A guard would run the request after some wait in milliseconds, but said
+   * that another is better.
+   */
+  turnedAway(member: Member, waitMs: number): void;
 }
 
 /** Guards that may turn a request away before it stays where it is sent. */
@@ -32,7 +35,7 @@
   choose: (avoid: ReadonlySet<string>) => Member | undefined,
 ): Search {
   const tried = new Set<string>();
-  const turnedAwayBy = new Set<string>();
+  const turnedAwayBy = new Map<Member, number>();
   let asked = 0;
   /** Whether guards are asked to run the request even if another is better. */
   let insists = false;
@@ -46,11 +49,16 @@
     return chooseAgain();
   }
 
+  /** Of the guards that turned it away, the one with the shortest wait. */
   function chooseAgain(): Member | undefined {
-    turnedAwayBy.forEach((server) => tried.delete(server));
-    turnedAwayBy.clear();
     insists = true;
-    return choose(tried);
+    const [best] = [...turnedAwayBy].sort(([, one], [, other]) => one - other);
+    if (!best) {
+      return choose(tried);
+    }
+    const [member] = best;
+    turnedAwayBy.delete(member);
+    return member;
   }
 
   return {
@@ -60,7 +68,7 @@
         return undefined;
       }
       asked++;
-      const exhausted = !insists && turnedAwayBy.size >= MAX_TURNED_AWAY;
+      const exhausted = insists || turnedAwayBy.size >= MAX_TURNED_AWAY;
       const member = exhausted ? chooseAgain() : chooseNext();
       if (!member) {
         return undefined;
@@ -68,6 +76,6 @@
       tried.add(member.server);
       return { member, elsewhere: !insists };
     },
-    turnedAway: (member) => turnedAwayBy.add(member.server),
+    turnedAway: (member, waitMs) => turnedAwayBy.set(member, waitMs),
   };
 }
--- a/src/ingress/search_test.ts
+++ b/src/ingress/search_test.ts
@@ -9,22 +9,26 @@
   );
 }
 
-test("a request stays where it is sent once three guards turned it away", (t) => {
+test("after three guards a request goes to the one with the shortest wait", (t) => {
   const search = searchAmong(["a", "b", "c", "d", "e"].map(fakeMember));
-  for (const expected of ["a", "b", "c"]) {
+  const waits = { a: 120, b: 30, c: 60 };
+  for (const [expected, waitMs] of Object.entries(waits)) {
     const place = search.next()!;
     t.same([place.member.server, place.elsewhere], [expected, true]);
-    search.turnedAway(place.member);
+    search.turnedAway(place.member, waitMs);
   }
-  const last = search.next()!;
-  t.same([last.member.server, last.elsewhere], ["a", false]);
+  for (const expected of ["b", "c", "a"]) {
+    const place = search.next()!;
+    t.same([place.member.server, place.elsewhere], [expected, false]);
+  }
+  t.equal(search.next(), undefined, "it has asked often enough");
   t.end();
 });
 
 test("where all have been asked, those that only preferred not to are left", (t) => {
   const search = searchAmong(["a", "b"].map(fakeMember));
   const first = search.next()!;
-  search.turnedAway(first.member);
+  search.turnedAway(first.member, 50);
   t.equal(search.next()!.member.server, "b", "b refuses for good");
   const last = search.next()!;
   t.same([last.member.server, last.elsewhere], ["a", false]);
