--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -293,6 +293,7 @@
       queued: waiting.length,
       version: 1,
       slowness: 1,
+      incarnation: "",
     };
   }
 
--- a/bench/transports.ts
+++ b/bench/transports.ts
@@ -87,7 +87,14 @@
     headers: HEADERS,
     body: BODY,
     streaming: false,
-    load: { inFlight: 1, allowed: 12, queued: 0, version: 1, slowness: 1 },
+    load: {
+      inFlight: 1,
+      allowed: 12,
+      queued: 0,
+      version: 1,
+      slowness: 1,
+      incarnation: "g",
+    },
   };
   async function serve(channel: Channel): Promise<void> {
     while (await channel.receive()) {
--- a/src/control/entrance.ts
+++ b/src/control/entrance.ts
@@ -11,9 +11,10 @@
 import type { LogStore, Membership, Recovered } from "./log_store.ts";
 import { helloMethod } from "./methods.ts";
 
-const PAUSE_MS = 200;
+/** Pause before peers are greeted again, in milliseconds. */
+const PAUSE_MS = 50;
 /** Time for which further answers are waited for, once enough have come. */
-const LATE_HELLO_MS = 60;
+const LATE_HELLO_MS = 30;
 
 /** Options of {@link enterCluster}. */
 export interface EntranceOptions {
--- a/src/control/log_store.ts
+++ b/src/control/log_store.ts
@@ -81,6 +81,8 @@
   snapshot: Snapshot | undefined;
   /** Entries after the snapshot. */
   entries: Entry[];
+  /** Size of these entries in bytes. */
+  entriesBytes: number;
   /** Bytes of a torn tail that were cut off. */
   tornBytes: number;
 }
@@ -89,8 +91,8 @@
 export interface LogStore {
   /** Reads everything; rejects with `CorruptionError` on damage. */
   recover(): Promise<Recovered>;
-  /** Appends entries and syncs them. */
-  append(entries: readonly Entry[]): Promise<void>;
+  /** Appends entries and syncs them; returns their size in bytes. */
+  append(entries: readonly Entry[]): Promise<number>;
   /** Replaces the whole log after a snapshot or a conflict. */
   rewrite(entries: readonly Entry[]): Promise<void>;
   /** Stores a snapshot durably. */
@@ -150,11 +152,14 @@
 interface ReadLog {
   entries: Entry[];
   size: number;
+  /** Size of the entries after the snapshot. */
+  uncovered: number;
 }
 
-function readLog(bytes: Buffer): ReadLog {
+function readLog(bytes: Buffer, covered: number): ReadLog {
   const entries: Entry[] = [];
   let offset = 0;
+  let uncovered = 0;
   while (offset < bytes.length) {
     const read = readRecord(bytes, offset);
     if (!read) {
@@ -166,10 +171,12 @@
       }
       break;
     }
-    entries.push(entrySchema.parse(read.value));
+    const entry = entrySchema.parse(read.value);
+    entries.push(entry);
+    uncovered += entry.index > covered ? read.end - offset : 0;
     offset = read.end;
   }
-  return { entries, size: offset };
+  return { entries, size: offset, uncovered };
 }
 
 function checkOrder(entries: Entry[], snapshotIndex: number): void {
@@ -210,24 +217,27 @@
       const vote = await readOne(VOTE, voteSchema);
       const snapshot = await readOne(SNAPSHOT, snapshotSchema);
       const bytes = Buffer.from(await disk.read(LOG) ?? new Uint8Array());
-      const log = readLog(bytes);
+      const covered = snapshot?.index ?? 0;
+      const log = readLog(bytes, covered);
       const tornBytes = bytes.length - log.size;
       if (tornBytes > 0) {
         await disk.truncate(LOG, log.size);
       }
-      const covered = snapshot?.index ?? 0;
       checkOrder(log.entries, covered);
       return {
         identity,
         vote: vote ?? { term: 0, votedFor: "" },
         snapshot,
         entries: log.entries.filter((entry) => entry.index > covered),
+        entriesBytes: log.uncovered,
         tornBytes,
       };
     },
     async append(entries) {
-      await disk.append(LOG, Buffer.concat(entries.map(encodeRecord)));
+      const bytes = Buffer.concat(entries.map(encodeRecord));
+      await disk.append(LOG, bytes);
       await disk.sync(LOG);
+      return bytes.length;
     },
     rewrite: (entries) =>
       disk.replace(LOG, Buffer.concat(entries.map(encodeRecord))),
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -138,7 +138,9 @@
 /** Pause before a replica whose disk failed reads it again. */
 const REOPEN_MS = 1_000;
 /** Longest wait for a leader after entering, in election timeouts. */
-const ENTERING_PATIENCE = 0.5;
+const ENTERING_PATIENCE = 0.3;
+/** Shortest pause between two looks at the leader's silence, in ms. */
+const ELECTION_CHECK_MS = 20;
 const NO_MEMBERS: Membership = { voters: [], learners: [] };
 
 /** Creates a replica. */
@@ -452,7 +454,7 @@
       const waitMs = tuning.electionMs * patience();
       const since = Math.max(lastHeard, electionBase);
       const remaining = since + waitMs - timer.now();
-      await sleep(timer, Math.max(remaining, tuning.heartbeatMs), { signal });
+      await sleep(timer, Math.max(remaining, ELECTION_CHECK_MS), { signal });
       const silent = timer.now() - Math.max(lastHeard, electionBase) >= waitMs;
       if (role === "follower" && isVoter() && silent) {
         justEntered = false;
--- a/src/control/replica_log.ts
+++ b/src/control/replica_log.ts
@@ -79,6 +79,11 @@
   idle(): Promise<void>;
 }
 
+/** Size of entries after a snapshot at which the next one is due, in bytes. */
+const MAX_REPLAY_BYTES = 96 * 1024;
+/** Entries that a log keeps from before its snapshot. */
+const KEPT_ENTRIES = 64;
+
 /** Creates a log from what was found on disk. */
 export function createReplicaLog(options: ReplicaLogOptions): ReplicaLog {
   const { store, machine, recovered, snapshotEvery, listener } = options;
@@ -93,6 +98,8 @@
   let flushing = false;
   let snapshotting = false;
   let broken = false;
+  /** Size of the entries that a restart has to apply again, in bytes. */
+  let replayBytes = recovered.entriesBytes;
 
   if (snapshot) {
     machine.restore(snapshot.state);
@@ -152,7 +159,7 @@
   async function flushOnce(): Promise<void> {
     const pending = entries.slice(durableIndex - baseIndex());
     if (pending.length > 0) {
-      await store.append(pending);
+      replayBytes += await store.append(pending);
       durableIndex = pending.at(-1)!.index;
     }
   }
@@ -200,7 +207,7 @@
     if (conflict) {
       await store.rewrite(entries);
     } else {
-      await store.append(fresh);
+      replayBytes += await store.append(fresh);
     }
     durableIndex = lastIndex();
   }
@@ -219,11 +226,23 @@
       });
       listener.applied(entry, result);
     }
-    if (appliedIndex - (snapshot?.index ?? 0) >= snapshotEvery) {
+    if (snapshotIsDue()) {
       void takeSnapshot();
     }
   }
 
+  /**
+   * A restart applies everything after the snapshot again before it can vouch
+   * for anything, so that many entries or large ones are due for one. A large
+   * state is not written for a few small entries.
+   */
+  function snapshotIsDue(): boolean {
+    const applied = appliedIndex - (snapshot?.index ?? 0);
+    const stateBytes = snapshot?.state.length ?? 0;
+    return applied >= snapshotEvery ||
+      (applied > 0 && replayBytes >= Math.max(MAX_REPLAY_BYTES, stateBytes));
+  }
+
   async function takeSnapshot(): Promise<void> {
     if (snapshotting) {
       return;
@@ -243,10 +262,12 @@
         guarded(async () => {
           await flushOnce();
           await store.saveSnapshot(taken);
-          // Half a period stays for followers that are a little behind.
-          const keepFrom = index - Math.floor(snapshotEvery / 2);
+          // Some entries stay for followers that are a little behind.
+          const kept = Math.min(KEPT_ENTRIES, Math.floor(snapshotEvery / 2));
+          const keepFrom = index - kept;
           entries = entries.filter((entry) => entry.index > keepFrom);
           snapshot = taken;
+          replayBytes = 0;
           const written = lastIndex();
           await store.rewrite(entries);
           durableIndex = written;
@@ -322,6 +343,7 @@
             ? entries.filter((entry) => entry.index > incoming.index)
             : [];
           snapshot = incoming;
+          replayBytes = 0;
           await store.rewrite(entries);
           durableIndex = lastIndex();
           commitIndex = incoming.index;
--- a/src/control/replica_log_test.ts
+++ b/src/control/replica_log_test.ts
@@ -52,6 +52,43 @@
   t.same(state.members(), []);
 });
 
+test("a restart has few bytes to apply again, however large the entries", async (t) => {
+  const disk = createFakeDisk();
+  const store = createLogStore(disk);
+  const state = createControlState();
+  const log = createReplicaLog({
+    store,
+    machine: state,
+    recovered: await store.recover(),
+    snapshotEvery: 1_000,
+    listener: LISTENER,
+  });
+  const document = "x".repeat(20_000);
+  for (let index = 1; index <= 40; index++) {
+    const command = {
+      kind: "register",
+      expectedRevision: 0,
+      member: {
+        server: "vm1",
+        service: document,
+        domain: "east",
+        region: "r",
+        address: "vm1:1",
+        incarnation: "i",
+        boot: "b",
+        slots: 1,
+        leaving: false,
+      },
+    };
+    await log.accept([{ ...entry(index), command }]);
+    log.commitTo(index);
+    await log.idle();
+  }
+  const recovered = await createLogStore(disk).recover();
+  t.ok(recovered.entriesBytes < 150_000, `${recovered.entriesBytes} bytes`);
+  t.equal(recovered.entries.at(-1)?.index ?? recovered.snapshot?.index, 40);
+});
+
 test("entries after a gap are refused", async (t) => {
   const log = await openLog();
   await log.accept([entry(1), entry(2), entry(3)]);
--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -204,7 +204,8 @@
   function waitOf(applicant: Applicant): number {
     const { usualMs = 0 } = applicant;
     return expectedWaitMs({
-      ahead: queue.countBefore(standingOf(applicant)) + lonely.length,
+      ahead: queue.countBefore(standingOf(applicant), runningOf) +
+        lonely.length,
       inFlight,
       allowed: allowed(),
       placeMs,
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -211,6 +211,7 @@
       queued: admission.queued,
       version: directory.version,
       slowness: link.report?.slowness ?? 1,
+      incarnation,
     };
   }
 
--- a/src/guard/queue.ts
+++ b/src/guard/queue.ts
@@ -41,7 +41,10 @@
   /** Takes the next request that fits, of the tenant with least running. */
   take(runningOf: (tenant: string) => number): Waiting | undefined;
   /** Number of waiting requests that go before one that would be added. */
-  countBefore(request: Standing): number;
+  countBefore(
+    request: Standing,
+    runningOf: (tenant: string) => number,
+  ): number;
   /** Removes a request; returns whether it was there. */
   remove(request: Waiting): boolean;
   /** Empties the queue. */
@@ -162,10 +165,14 @@
       }
       return best;
     },
-    countBefore(request) {
+    countBefore(request, runningOf) {
+      const own = runningOf(request.tenant);
       let count = 0;
-      for (const list of tenants.values()) {
-        count += list.filter((one) => goesBefore(one, request)).length;
+      for (const [tenant, list] of tenants) {
+        // Others go first until as much of theirs runs.
+        count += tenant === request.tenant
+          ? list.filter((one) => goesBefore(one, request)).length
+          : Math.min(list.length, Math.max(0, own - runningOf(tenant)));
       }
       return count;
     },
--- a/src/ingress/answer_sizes_test.ts
+++ b/src/ingress/answer_sizes_test.ts
@@ -20,7 +20,14 @@
       headers,
       body: first,
       streaming: !(body instanceof Uint8Array),
-      load: { inFlight: 0, allowed: 1, queued: 0, version: 1, slowness: 1 },
+      load: {
+        inFlight: 0,
+        allowed: 1,
+        queued: 0,
+        version: 1,
+        slowness: 1,
+        incarnation: "g",
+      },
     },
   };
 }
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -178,6 +178,10 @@
         metrics.count("turned_away");
         continue;
       }
+      if (end.kind === "not_run" && end.cause === "other_incarnation") {
+        search.startedAgain(member);
+        continue;
+      }
       metrics.count("retries");
       recorder.record({
         kind: "retry",
--- a/src/ingress/hints.ts
+++ b/src/ingress/hints.ts
@@ -44,6 +44,11 @@
   report(server: string, load: Load): void;
   /** Returns what is known of a member. */
   candidate(member: Member, domain: string): Candidate;
+  /**
+   * Incarnation of a member's guard: as the guard itself last told, which is
+   * newer than what control has told, or else as control has told.
+   */
+  incarnationOf(member: Member): string;
   /** Whether nothing recent is known of a server. */
   isUnknown(server: string): boolean;
   /** Forgets a server, since it was replaced. */
@@ -173,6 +178,8 @@
         failures: currentFailures(hint),
       };
     },
+    incarnationOf: (member) =>
+      hints.get(member.server)?.load?.incarnation ?? member.incarnation,
     isUnknown: (server) =>
       timer.now() - hintOf(server).loadAt > UNKNOWN_AFTER_MS,
     forget: (server) => hints.delete(server),
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -170,7 +170,8 @@
       policy.choose(candidates, random, {
         answerBytes: sizes.of(settings.class),
       });
-    return open.find((member) => member.server === chosen.server);
+    const member = open.find((one) => one.server === chosen.server);
+    return member && { ...member, incarnation: hints.incarnationOf(member) };
   }
 
   /**
--- a/src/ingress/search.ts
+++ b/src/ingress/search.ts
@@ -23,6 +23,8 @@
    * that another is better.
    */
   turnedAway(member: Member, waitMs: number): void;
+  /** A guard has started again, and is known anew: it may be asked again. */
+  startedAgain(member: Member): void;
 }
 
 /** Guards that may turn a request away before it stays where it is sent. */
@@ -76,6 +78,7 @@
       tried.add(member.server);
       return { member, elsewhere: !insists };
     },
+    startedAgain: (member) => tried.delete(member.server),
     turnedAway: (member, waitMs) => turnedAwayBy.set(member, waitMs),
   };
 }
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -26,11 +26,13 @@
   queued: z.number(),
   version: z.number(),
   slowness: z.number(),
+  incarnation: z.string(),
 });
 
 /**
  * Load of a backend server as its guard knows it. `slowness`: time that work
- * takes there at present, as a multiple of the usual.
+ * takes there at present, as a multiple of the usual. `incarnation`: that of
+ * the guard, which senders learn here before control tells them.
  */
 export type Load = z.infer<typeof loadSchema>;
 
--- a/tests/scenario/dispatch_test.ts
+++ b/tests/scenario/dispatch_test.ts
@@ -73,3 +73,21 @@
     200,
   ]);
 });
+
+test("guards that started again are known anew without control", async (t) => {
+  const world = await startSmallWorld({ seed: 6, servers: 3 });
+  world.rpc.fate = ({ from }) => ({ lost: from === "vm1", delayMs: 1 });
+  world.vm("vm1").server.crash();
+  for (const name of ["vm2", "vm3"]) {
+    world.killNode(name);
+    await world.startNode(name);
+  }
+  await world.timer.advance(2_000);
+  const calls = [];
+  for (let count = 0; count < 10; count++) {
+    calls.push(world.call({ via: "vm1", path: `/look/${count}` }));
+    await world.timer.advance(100);
+  }
+  const statuses = calls.map((call) => call.reply?.status);
+  t.ok(statuses.every((status) => status === 200), statuses.join(" "));
+});
