Take a known backend server up again after a node's own start

Cause: after a restart a guard knew nothing until the next announcement, up to 1.5 s on the platform, though control holds what the node had registered.

Change: the first confirmed view tells a node its own record, with the instance; if the server's health check says 200 and names that instance, it is taken up at once. A server that is recorded as leaving, says so, or is another has to announce itself.

Red before: recall_test (the server was unknown until it announced itself).

--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -61,6 +61,12 @@
   boot: z.string(),
   slots: z.number(),
   leaving: z.boolean(),
+  /** What its node needs to know it again after a start of its own. */
+  backend: z.object({
+    address: z.string(),
+    instance: z.string(),
+    startedAt: z.number().optional(),
+  }).optional(),
 });
 /** A backend server as its node registers it. */
 export type Member = z.infer<typeof memberSchema>;
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -273,6 +273,7 @@
         fleetSize: state.members().length,
         leaseLost: renewal !== undefined && lost.has(keyOf(renewal)),
         view: state.viewSince(known),
+        own: confirmed ? state.member(request.node) : undefined,
       };
     });
     rpc.handle(
--- a/src/control/node_methods.ts
+++ b/src/control/node_methods.ts
@@ -41,7 +41,8 @@
 
 /**
  * Asks for news and renews a lease; any replica answers. The reply names the
- * RPC addresses of all replicas and the number of registered members.
+ * RPC addresses of all replicas and the number of registered members. `own`:
+ * what is registered for the node, told once with a confirmed view.
  */
 export const syncMethod = defineMethod("sync", {
   request: z.object({
@@ -63,6 +64,7 @@
     fleetSize: z.number(),
     leaseLost: z.boolean(),
     view: viewSchema,
+    own: memberSchema.optional(),
   }),
 });
 
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -396,7 +396,7 @@
       settings,
       members: [...members.values()]
         .filter((member) => member.service === service)
-        .map(({ revision: _revision, ...member }) => member),
+        .map(({ revision: _revision, backend: _backend, ...member }) => member),
     };
   }
 
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -84,6 +84,11 @@
   announce(announcement: Announcement): AnnouncementResult;
   /** The backend server leaves; resolves once nothing is in flight. */
   leave(boot: string): Promise<boolean>;
+  /**
+   * Whether a backend server that was registered before is there, well, and
+   * not leaving.
+   */
+  finds(registered: Announcement): Promise<boolean>;
   /** Takes no announcement of an instance that started by a Unix time. */
   barInstance(instance: string, startedBy: number): void;
   /** Stops admitting; resolves once nothing is in flight. */
@@ -620,9 +625,13 @@
       turnCold("a new boot");
       if (next.coldMs !== undefined) {
         coldRate.noteCold(next.coldMs);
+      } else {
+        // Its health check may tell.
+        void link.probe();
       }
       return result;
     },
+    finds: link.finds,
     barInstance: link.barInstance,
     async leave(boot) {
       link.bar(boot);
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -4,10 +4,12 @@
  * @module
  */
 import { createCanceller } from "../core/cancellation.ts";
+import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Timer } from "../time/timer.ts";
 import type {
   Backend,
+  BackendAnswer,
   BackendFactory,
   BackendVerdict,
   ServerReport,
@@ -62,6 +64,8 @@
   readonly probes: number;
   /** Takes an announcement; one from an earlier boot is outdated. */
   announce(next: Announcement): AnnouncementResult;
+  /** Whether the backend server of an announcement is there and well. */
+  finds(expected: Announcement): Promise<boolean>;
   /** Takes no announcement of a boot any more. */
   bar(boot: string): void;
   /** Takes no announcement of an instance that started by a Unix time. */
@@ -78,6 +82,8 @@
   readonly reportAgeMs: number;
 }
 
+/** Status of a backend server that is well and does not leave. */
+const HEALTHY = 200;
 const PROBE_TIMEOUT_MS = 250;
 /** Connections until the service's settings are known. */
 const INITIAL_CONNECTIONS = 256;
@@ -114,11 +120,7 @@
 
   function connect(next: Announcement): void {
     void backend?.close();
-    backend = options.createBackend({
-      address: next.address,
-      connections: options.connections() ?? INITIAL_CONNECTIONS,
-      connectTimeoutMs: PROBE_TIMEOUT_MS,
-    });
+    backend = createClient(next);
     down = false;
     report = undefined;
   }
@@ -134,7 +136,19 @@
     }
   }
 
-  async function check(target: Backend, at: Announcement): Promise<boolean> {
+  function createClient(at: Announcement): Backend {
+    return options.createBackend({
+      address: at.address,
+      connections: options.connections() ?? INITIAL_CONNECTIONS,
+      connectTimeoutMs: PROBE_TIMEOUT_MS,
+    });
+  }
+
+  /** Asks for the health of a backend server. */
+  async function askHealth(
+    target: Backend,
+    at: Announcement,
+  ): Promise<BackendAnswer> {
     const canceller = createCanceller();
     const timeout = timer.after(PROBE_TIMEOUT_MS, canceller.cancel);
     try {
@@ -150,18 +164,38 @@
         signal: canceller,
       });
       await readAll(answer.body);
-      const { verdict } = answer;
-      const other = verdict?.instance !== undefined &&
-        at.instance !== undefined && verdict.instance !== at.instance;
-      if (verdict && !other && at.boot === announced?.boot) {
-        noteVerdict(verdict);
-      }
-      return !other;
+      return answer;
     } finally {
       timeout.cancel();
     }
   }
 
+  async function check(target: Backend, at: Announcement): Promise<boolean> {
+    const { verdict } = await askHealth(target, at);
+    const other = verdict?.instance !== undefined &&
+      at.instance !== undefined && verdict.instance !== at.instance;
+    if (verdict && !other && at.boot === announced?.boot) {
+      noteVerdict(verdict);
+    }
+    return !other;
+  }
+
+  async function finds(expected: Announcement): Promise<boolean> {
+    const target = createClient(expected);
+    try {
+      const { status, verdict } = await askHealth(target, expected);
+      return status === HEALTHY && verdict?.instance === expected.instance;
+    } catch (error) {
+      logger.info("guard.not_found", {
+        address: expected.address,
+        ...errorFields(error),
+      });
+      return false;
+    } finally {
+      void target.close();
+    }
+  }
+
   return {
     get announced() {
       return announced;
@@ -194,6 +228,7 @@
       connect(next);
       return "new";
     },
+    finds,
     bar: (boot) => pastBoots.add(boot),
     barInstance: (instance, startedBy) =>
       leftInstances.set(instance, startedBy),
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -71,8 +71,11 @@
   setControlAddresses(addresses: readonly string[]): void;
   /** Takes an announcement of the backend server. */
   announce(announcement: Announcement): Promise<AnnouncementResult>;
-  /** The backend server leaves; resolves once nothing is in flight. */
-  leave(boot: string): Promise<boolean>;
+  /**
+   * The backend server leaves; resolves once nothing is in flight. `onRecorded`
+   * is called once control has recorded it, so that it binds a later process.
+   */
+  leave(boot: string, onRecorded?: () => void): Promise<boolean>;
   /** An instance has left whose start is not known here. */
   barInstance(instance: string): void;
   /** First half of a planned stop: says so, and takes no more attempts. */
@@ -94,6 +97,8 @@
 const REPORT_FRESH_MS = 35;
 /** Time after the last attempt for which a fresh report is wanted. */
 const REPORT_WANTED_MS = 500;
+/** Path of health checks until the service's settings are known. */
+const DEFAULT_HEALTH_PATH = "/health";
 /** Time without announcements after which the backend server is gone. */
 const ANNOUNCEMENT_LEASE_MS = 10_000;
 const FREEZE_MS = 2_000;
@@ -142,6 +147,7 @@
     supervisor,
     renewal: registration.renewal,
     onLeaseLost: () => void register(),
+    onOwnRecord: (own) => void recall(own),
   });
   const pool: PeerPool = createPeerPool({
     network: local.network,
@@ -241,16 +247,66 @@
       slots: announced.slots ??
         directory.service(announced.service)?.settings?.slots ?? 1,
       leaving: leaving || stopping,
+      backend: announced.instance === undefined ? undefined : {
+        address: announced.address,
+        instance: announced.instance,
+        startedAt: announced.startedAt,
+      },
     };
   }
 
-  async function register(): Promise<void> {
-    const current = member();
-    if (current) {
-      await registration.register(current);
+  async function announce(
+    announcement: Announcement,
+  ): Promise<AnnouncementResult> {
+    const result = guard.announce(announcement);
+    if (result === "outdated") {
+      return result;
+    }
+    announcedAt = timer.now();
+    if (result === "new") {
+      leaving = false;
+    }
+    // A server that leaves may go on announcing itself until it has ended.
+    const goes = leaving || stopping;
+    const unregistered = registration.renewal() === undefined;
+    if (!goes && (result === "new" || unregistered)) {
+      await sync.subscribe(announcement.service);
+      await register();
+    }
+    return result;
+  }
+
+  /**
+   * Takes the backend server up again that an earlier process of this node has
+   * registered, without waiting until it announces itself. One that leaves, or
+   * that is another than was registered, has to announce itself.
+   */
+  async function recall(own: Member): Promise<void> {
+    const { backend } = own;
+    if (!backend || own.leaving || own.incarnation === incarnation) {
+      return;
+    }
+    const announcement: Announcement = {
+      service: own.service,
+      boot: own.boot,
+      slots: own.slots,
+      sequence: 0,
+      healthPath: DEFAULT_HEALTH_PATH,
+      ...backend,
+    };
+    await sync.subscribe(own.service);
+    const found = await guard.finds(announcement);
+    if (found && !guard.announced) {
+      logger.info("node.recalled", { boot: own.boot });
+      await announce(announcement);
     }
   }
 
+  async function register(): Promise<boolean> {
+    const current = member();
+    return current !== undefined && await registration.register(current);
+  }
+
   async function shareSuspicion(frame: Frame): Promise<void> {
     const service = guard.announced?.service ?? "";
     const members = directory.service(service)?.members ?? [];
@@ -352,37 +408,28 @@
     setControlAddresses: client.setSeeds,
     async start() {
       await hashReady;
+      if (options.service !== undefined) {
+        directory.subscribe(options.service);
+      }
       listener = await options.network.listen(options.peerAddress, serve);
       sync.start();
       supervisor.start("node.probe", probeTask);
       supervisor.start("node.report", reportTask);
       supervisor.start("node.watch", watchTask);
     },
-    async announce(announcement) {
-      const result = guard.announce(announcement);
-      if (result === "outdated") {
-        return result;
-      }
-      announcedAt = timer.now();
-      if (result === "new") {
-        leaving = false;
-      }
-      // A server that leaves may go on announcing itself until it has ended.
-      const goes = leaving || stopping;
-      const unregistered = registration.renewal() === undefined;
-      if (!goes && (result === "new" || unregistered)) {
-        await sync.subscribe(announcement.service);
-        await register();
-      }
-      return result;
-    },
-    async leave(boot) {
+    announce,
+    async leave(boot, onRecorded = () => {}) {
       if (guard.announced?.boot !== boot) {
         // A start that is not known here has left all the same.
+        onRecorded();
         return await guard.leave(boot);
       }
       leaving = true;
-      const told = register();
+      const told = register().then((recorded) => {
+        if (recorded) {
+          onRecorded();
+        }
+      });
       const done = await guard.leave(boot);
       await told;
       await registration.leave();
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Recorder } from "../account/events.ts";
+import type { Member } from "../control/commands.ts";
 import { type Renewal, syncMethod } from "../control/node_methods.ts";
 import { viewSchema } from "../control/view.ts";
 import { errorFields } from "../core/errors.ts";
@@ -48,6 +49,8 @@
   renewal: () => Renewal | undefined;
   /** The lease was lost: the registration must be made again. */
   onLeaseLost: () => void;
+  /** The view is confirmed, and tells what an earlier process registered. */
+  onOwnRecord: (own: Member) => void;
 }
 
 const SYNC_TIMEOUT_MS = 1_000;
@@ -100,7 +103,7 @@
       client.skipReplica();
       return false;
     }
-    const { view, stalenessMs, leaseLost, leader } = reply.value;
+    const { view, stalenessMs, leaseLost, leader, own } = reply.value;
     client.noteReplicas(reply.value.replicas);
     directory.noteFleetSize(reply.value.fleetSize);
     if (leader) {
@@ -118,6 +121,9 @@
     confirmed = true;
     heardAt = timer.now();
     directory.apply(view);
+    if (own) {
+      options.onOwnRecord(own);
+    }
     if (stalenessMs > STALE_REPLICA_MS) {
       client.skipReplica();
     }
--- a/tests/scenario/fake_backend.ts
+++ b/tests/scenario/fake_backend.ts
@@ -51,6 +51,8 @@
   hangs: boolean;
   /** Answers that are cut in the middle of their body. */
   cutsBodies: boolean;
+  /** Whether its health check says that it leaves. */
+  leaves: boolean;
   crash(): void;
   /** Starts again with a new boot. */
   start(): void;
@@ -160,7 +162,12 @@
       throw failure("connect", vm);
     }
     if (request.path === HEALTH_PATH) {
-      return { status: 200, headers: [], body: bodyOf("ok") };
+      return {
+        status: server.leaves ? 503 : 200,
+        headers: [],
+        body: bodyOf("ok"),
+        verdict: { instance: server.boot },
+      };
     }
     const requestId = headerOf(request, "mustardcross-request-id");
     executions.push({
@@ -198,6 +205,7 @@
     poison: "",
     hangs: false,
     cutsBodies: false,
+    leaves: false,
     crash,
     start() {
       crash();
--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -187,6 +187,7 @@
           service: SERVICE,
           address: `${vm.name}:2`,
           boot: vm.server.boot,
+          instance: vm.server.boot,
           sequence,
           healthPath: "/health",
         });
