Let in only what is likely to be in time; count on being overtaken

Change: in time means that 1.3 times the usual time fits; nothing starts in under 0.9 of it; the expected turn counts what may overtake (1.4 times, late work 2 times).

--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -12,7 +12,13 @@
 import { createFairQueue, type Standing, type Waiting } from "./queue.ts";
 
 /** Share of the usual time that a request takes at least. */
-const LEAST_SHARE = 0.6;
+const LEAST_SHARE = 0.9;
+/** Multiple of the usual time that most requests stay below. */
+const MOST_SHARE = 1.3;
+/** Factor on the expected turn of a request, for what may still overtake it. */
+const OVERTAKEN_FACTOR = 1.4;
+/** The same for what is late: all that is in time goes before it. */
+const LATE_OVERTAKEN_FACTOR = 2;
 /** Share of its time that a request waits when it can't be in time any more. */
 const LATE_PATIENCE_SHARE = 0.3;
 /** Weight of one request in the usual time for which places are held. */
@@ -183,9 +189,14 @@
     if (objectiveAt === undefined) {
       return Infinity;
     }
-    const inTime = objectiveAt - usualMs - timer.now();
     const left = deadlineAt - usualMs - timer.now();
-    return Math.max(inTime, left * LATE_PATIENCE_SHARE);
+    return Math.max(inTimeLeftOf(applicant), left * LATE_PATIENCE_SHARE);
+  }
+
+  /** Time that a request can wait and still be within its objective. */
+  function inTimeLeftOf(applicant: Applicant): number {
+    const { objectiveAt = Infinity, usualMs = 0 } = applicant;
+    return objectiveAt - usualMs * MOST_SHARE - timer.now();
   }
 
   /** How a request stands in the queue, apart from what it waits for. */
@@ -195,22 +206,24 @@
       tenant,
       rank,
       deadlineAt,
-      inTime: () =>
-        timer.now() + usualMs <= (applicant.objectiveAt ?? Infinity),
+      inTime: () => inTimeLeftOf(applicant) >= 0,
       fits: () => holdMs(usualMs) === 0,
     };
   }
 
   function waitOf(applicant: Applicant): number {
     const { usualMs = 0 } = applicant;
+    const standing = standingOf(applicant);
     return expectedWaitMs({
-      ahead: queue.countBefore(standingOf(applicant), runningOf) +
-        lonely.length,
+      ahead: queue.countBefore(standing, runningOf) + lonely.length,
       inFlight,
       allowed: allowed(),
       placeMs,
       holdMs: holdMs(usualMs),
       pauseMs: warmup().pauseMs,
+      overtakenFactor: standing.inTime()
+        ? OVERTAKEN_FACTOR
+        : LATE_OVERTAKEN_FACTOR,
     });
   }
 
--- a/src/guard/expected_wait.ts
+++ b/src/guard/expected_wait.ts
@@ -22,13 +22,18 @@
   holdMs: number;
   /** Time for which a cold server takes nothing more, in ms. */
   pauseMs: number;
+  /** Factor on its turn, for requests that come later and go before it. */
+  overtakenFactor: number;
 }
 
 /** Returns the expected wait in milliseconds; 0 if there is a free place. */
 export function expectedWaitMs(moment: QueueMoment): number {
   const { ahead, inFlight, allowed, placeMs, holdMs, pauseMs } = moment;
+  const { overtakenFactor } = moment;
   const missing = ahead + 1 - (allowed - inFlight);
   // Places become free one after the other, spread over the usual time.
-  const turnMs = missing > 0 ? missing * placeMs / Math.max(1, allowed) : 0;
+  const turnMs = missing > 0
+    ? missing * overtakenFactor * placeMs / Math.max(1, allowed)
+    : 0;
   return Math.max(turnMs, holdMs, pauseMs);
 }
