Exercise the code before a build caches it

Change: deploy/exercise.mjs runs three replicas, two nodes and their servers for some hundred requests in the process that writes the cache; functions that have not run for a while stay in it.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -6,7 +6,7 @@
 import { execFileSync } from "node:child_process";
 import { mkdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
+import { fileURLToPath, pathToFileURL } from "node:url";
 import { build } from "esbuild";
 import { parse } from "smol-toml";
 
@@ -35,6 +35,7 @@
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { createRequire } = require("node:module");
 const { join } = require("node:path");
+const { setFlagsFromString } = require("node:v8");
 const { Script } = require("node:vm");
 
 const filename = join(__dirname, "bundle.cjs");
@@ -48,11 +49,27 @@
 }
 const loaded = { exports: {} };
 script.runInThisContext()(loaded.exports, createRequire(filename), loaded);
-if (process.argv[2] === "--write-code-cache") {
+
+/** Writes the code cache once the code has run; without that, it holds less. */
+async function writeCodeCache(exerciseFile) {
+  // What has not run for a while must stay, too.
+  setFlagsFromString("--no-flush-bytecode");
+  try {
+    const { exercise } = await import(exerciseFile);
+    await exercise(loaded.exports);
+  } catch (error) {
+    process.stderr.write("the code was not exercised: " + error.stack + "\\n");
+  }
+  setFlagsFromString("--flush-bytecode");
   writeFileSync(cacheFile, script.createCachedData());
   process.exit(0);
 }
-void loaded.exports.main(process.argv.slice(2));
+
+if (process.argv[2] === "--write-code-cache") {
+  void writeCodeCache(process.argv[3]);
+} else {
+  void loaded.exports.main(process.argv.slice(2));
+}
 `;
 
 mkdirSync(TARGET, { recursive: true });
@@ -73,4 +90,5 @@
   ...runtimeFlags(),
   loader,
   "--write-code-cache",
+  pathToFileURL(join(ROOT, "deploy/exercise.mjs")).href,
 ]);
