--- a/src/guard/expected_wait.ts
+++ b/src/guard/expected_wait.ts
@@ -22,7 +22,7 @@
   holdMs: number;
   /** Time for which a cold server takes nothing more, in ms. */
   pauseMs: number;
-  /** Factor on its turn, for requests that come later and go before it. */
+  /** Factor on the wait behind others, for what comes later and overtakes. */
   overtakenFactor: number;
 }
 
@@ -31,9 +31,11 @@
   const { ahead, inFlight, allowed, placeMs, holdMs, pauseMs } = moment;
   const { overtakenFactor } = moment;
   const missing = ahead + 1 - (allowed - inFlight);
-  // Places become free one after the other, spread over the usual time.
-  const turnMs = missing > 0
-    ? missing * overtakenFactor * placeMs / Math.max(1, allowed)
-    : 0;
+  // Places become free one after the other, spread over the usual time. The
+  // next one goes to the first, whom hardly anything overtakes.
+  const places = missing > 1
+    ? 1 + (missing - 1) * overtakenFactor
+    : Math.max(0, missing);
+  const turnMs = places * placeMs / Math.max(1, allowed);
   return Math.max(turnMs, holdMs, pauseMs);
 }
