Explain requests: decisions, samples, metrics of both roles, a log that never waits

Cause: on-call engineers have only logs and metrics. A node logged requests that nobody answered, without the attempts that led there; guards logged nothing; what went well left no trace; control had no metrics; and standard output is written synchronously to a pipe, so that a reader who stands still stops the process.

Change: a request's line carries the trail of its attempts (server and end of each); a guard logs what it refused or ran badly with the inputs of the decision and their age; what went well is kept for one request in 128, the same in every process; each part writes at most 20 such lines a second and counts the rest. Callers that are told to come back are spread over half as long again.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,6 +9,7 @@
 import type { AcceptedChange } from "../control/commands.ts";
 import type { ControlStatus } from "../control/node_methods.ts";
 import { createLogger } from "../core/logger.ts";
+import { standardOutput } from "../core/log_sink.ts";
 import { errorMessage } from "../core/errors.ts";
 import { startProcess } from "../process.ts";
 import { loadProcess, loadSite } from "../settings/load.ts";
@@ -20,6 +21,9 @@
 } from "./admin_command.ts";
 import { EXIT, printJson, printTable, reportMistakes } from "./output.ts";
 
+/** Longest wait for the reader of the last log lines, in milliseconds. */
+const FLUSH_MS = 200;
+
 /** Runs a process until it is told to stop by a signal. */
 abstract class RunCommand extends Command {
   settings = Option.String("--settings", {
@@ -41,7 +45,8 @@
         expected: `the table [${role}]`,
       }]);
     }
-    const logger = createLogger();
+    const output = standardOutput();
+    const logger = createLogger({ write: output.write });
     try {
       const running = await startProcess(settings, { logger });
       await new Promise<void>((resolve) => {
@@ -50,11 +55,13 @@
       });
       logger.info("process.stopping", { vm: settings.vm });
       await running.stop();
+      await output.flush(FLUSH_MS);
       // Idle sockets of libraries must not keep the process.
       setImmediate(() => process.exit(EXIT.ok));
       return EXIT.ok;
     } catch (error) {
       logger.error("process.failed", { error: errorMessage(error) });
+      await output.flush(FLUSH_MS);
       return EXIT.failed;
     }
   }
--- /dev/null
+++ b/src/core/request_log.ts
@@ -0,0 +1,45 @@
+/**
+ * Lines about requests at a bounded rate: of what went well a sample, chosen by
+ * the request's id so that all processes log the same requests; of the rest
+ * each one, as far as the rate allows.
+ * @module
+ */
+import type { Timer } from "../time/timer.ts";
+import { hash32 } from "./hash.ts";
+import { createLimitedLog } from "./log_limit.ts";
+import type { Logger, LogValue } from "./logger.ts";
+
+/** Logs decisions about requests. */
+export interface RequestLog {
+  /** Something did not go as wished. */
+  note(event: string, request: string, fields: Fields): void;
+  /** All is well: logged if the request is in the sample. */
+  sample(event: string, request: string, fields: () => Fields): void;
+}
+
+type Fields = Record<string, LogValue>;
+
+/** Lines a second of one part of a process. */
+const LINES_PER_S = 20;
+/** One request in so many is in the sample. */
+const SAMPLE_PERIOD = 128;
+
+/** Whether a request is in the sample; the same in every process. */
+export function isSampled(request: string): boolean {
+  return hash32(new TextEncoder().encode(request)) % SAMPLE_PERIOD === 0;
+}
+
+/** Creates a log of requests. */
+export function createRequestLog(
+  options: { logger: Logger; timer: Timer },
+): RequestLog {
+  const log = createLimitedLog({ ...options, perSecond: LINES_PER_S });
+  return {
+    note: (event, request, fields) => log.info(event, { request, ...fields }),
+    sample(event, request, fields) {
+      if (isSampled(request)) {
+        log.info(event, { request, ...fields() });
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/core/request_log_test.ts
@@ -0,0 +1,43 @@
+import { test } from "tap";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import { hashReady } from "./hash.ts";
+import { type Logger, silentLogger } from "./logger.ts";
+import { createRequestLog, isSampled } from "./request_log.ts";
+
+await hashReady;
+
+function recordingLogger(lines: string[]): Logger {
+  return {
+    ...silentLogger,
+    info: (event, fields) => lines.push(`${event} ${fields?.request ?? ""}`),
+  };
+}
+
+test("of what went well, all processes keep the same few requests", (t) => {
+  const ids = Array.from({ length: 5_000 }, (_, index) => `request-${index}`);
+  const kept = ids.filter(isSampled);
+  t.ok(kept.length > 10 && kept.length < 100, `${kept.length} of 5,000`);
+  const [one, other] = [[], []] as string[][];
+  for (const lines of [one, other]) {
+    const timer = createFakeTimer();
+    const log = createRequestLog({ logger: recordingLogger(lines), timer });
+    kept.slice(0, 5).forEach((id) => log.sample("ran", id, () => ({})));
+    log.sample("ran", ids.find((id) => !isSampled(id))!, () => ({}));
+  }
+  t.same(one, other);
+  t.equal(one.length, 5);
+  t.end();
+});
+
+test("failures are kept up to a rate, and what is left out is counted", async (t) => {
+  const lines: string[] = [];
+  const timer = createFakeTimer();
+  const log = createRequestLog({ logger: recordingLogger(lines), timer });
+  for (let count = 0; count < 500; count++) {
+    log.note("refused", `request-${count}`, {});
+  }
+  t.equal(lines.length, 20);
+  await timer.advance(1_000);
+  log.note("refused", "later", {});
+  t.same(lines.slice(20), ["log.left_out ", "refused later"]);
+});
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -6,7 +6,9 @@
 import type { Recorder } from "../account/events.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields } from "../core/errors.ts";
-import type { Logger } from "../core/logger.ts";
+import type { Logger, LogValue } from "../core/logger.ts";
+import { createRequestLog } from "../core/request_log.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import type { Channel } from "../network/channel.ts";
 import type {
@@ -35,14 +37,14 @@
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createResumption } from "./resumption.ts";
-import { runAttempt } from "./run.ts";
+import { type End, runAttempt } from "./run.ts";
 import {
   type Announcement,
   type AnnouncementResult,
   createServerLink,
 } from "./server_link.ts";
 import { createServerWatch } from "./server_watch.ts";
-import { turnsAway } from "./turn_away.ts";
+import { isTurnedAway, turnsAway } from "./turn_away.ts";
 import type { Completion, Warmup } from "./warmup.ts";
 
 /** Options of {@link createGuard}. */
@@ -54,6 +56,7 @@
   timer: Timer;
   logger: Logger;
   recorder: Recorder;
+  metrics: Metrics;
   createBackend: BackendFactory;
   /** Tells the other guards of the service about a crash or an acquittal. */
   shareSuspicion: (frame: SuspicionFrame) => void;
@@ -115,6 +118,7 @@
   waitMs?: number;
 }
 
+const FIRST_SERVER_ERROR = 500;
 const LEDGER_CAPACITY = 50_000;
 const DRAIN_CHECK_MS = 10;
 const RETRY_AFTER_MS = 250;
@@ -142,7 +146,8 @@
 /** Creates a guard that knows no backend server yet. */
 export function createGuard(options: GuardOptions): Guard {
   const { vm, domain, incarnation, directory, timer, logger } = options;
-  const { recorder } = options;
+  const { recorder, metrics } = options;
+  const log = createRequestLog(options);
   const ledger = createAttemptLedger(LEDGER_CAPACITY);
   const resumption = createResumption({
     incarnation,
@@ -345,6 +350,58 @@
     };
   }
 
+  /** What the guard knew when it decided about a request. */
+  function knowledge(frame: Attempt): Record<string, LogValue> {
+    return {
+      route: frame.class,
+      service: frame.service,
+      from: frame.from,
+      left_ms: Math.round(frame.timeLeftMs),
+      in_flight: admission.inFlight,
+      queued: admission.queued,
+      allowed: warmup().allowed,
+      cold: warmup().cold || undefined,
+      slowness: link.report?.slowness,
+      report_age_ms: link.report && Math.round(link.reportAgeMs),
+      version: directory.version,
+    };
+  }
+
+  function noteRefusal(frame: Attempt, { reason, waitMs }: Refusal): void {
+    metrics.countBy("guard_refusals", { name: "reason", value: reason });
+    const fields = () => ({
+      reason,
+      expected_wait_ms: waitMs === undefined ? undefined : Math.round(waitMs),
+      ...knowledge(frame),
+    });
+    if (isTurnedAway(reason)) {
+      log.sample("guard.turned_away", frame.requestId, fields);
+    } else {
+      log.note("guard.refused", frame.requestId, fields());
+      recordRefusal(frame, reason);
+    }
+  }
+
+  /** Notes how a request ended that ran at the backend server. */
+  function noteEnd(frame: Attempt, end: End, waitedMs: number): void {
+    metrics.countBy("guard_ends", { name: "kind", value: end.kind });
+    const fields = () => ({
+      waited_ms: Math.round(waitedMs),
+      boot: link.announced?.boot,
+      ...knowledge(frame),
+    });
+    if (end.kind === "answer" && end.status < FIRST_SERVER_ERROR) {
+      log.sample("guard.ran", frame.requestId, fields);
+      return;
+    }
+    const how = end.kind === "answer"
+      ? { outcome: "ran", status: end.status }
+      : end.kind === "refused"
+      ? { outcome: "not_run", cause: end.reason }
+      : { outcome: end.outcome, cause: end.cause };
+    log.note("guard.ran_badly", frame.requestId, { ...how, ...fields() });
+  }
+
   function recordRefusal(frame: Attempt, reason: RefusalReason): void {
     recorder.record({
       kind: "refused",
@@ -428,11 +485,9 @@
       ? ledger.fence(attempt)
       : ledger.start(attempt);
     if (begun === "fenced") {
-      if (!away) {
-        recordRefusal(frame, reason ?? "fenced");
-      }
-      const why = reason ?? away ?? "fenced";
-      await channel.send(refusal(attempt, { reason: why, waitMs }));
+      const refused: Refusal = { reason: reason ?? away ?? "fenced", waitMs };
+      noteRefusal(frame, refused);
+      await channel.send(refusal(attempt, refused));
       return;
     }
     if (begun !== "started") {
@@ -449,7 +504,7 @@
     { frame, refused }: { frame: Attempt; refused: Refusal },
   ): Promise<void> {
     ledger.set(frame.attempt, "fenced");
-    recordRefusal(frame, refused.reason);
+    noteRefusal(frame, refused);
     if (!channel.closed) {
       await channel.send(refusal(frame.attempt, refused));
     }
@@ -476,9 +531,12 @@
     const keepalive = timer.every(keepaliveMs(), () => {
       void channel.send({ kind: "pong" }).catch(() => {});
     });
+    const askedAt = timer.now();
     const verdict = await admission.admit(
       applicantOf(frame, { alone, signal: gone }),
     );
+    const waitedMs = timer.now() - askedAt;
+    metrics.timing("queue_wait", frame.class, waitedMs);
     keepalive.cancel();
     if (verdict.kind === "refused") {
       await refuseStarted(channel, { frame, refused: verdict });
@@ -525,6 +583,7 @@
     });
     const ending = run.ended.then((end) => {
       runWatch.ended(end);
+      noteEnd(frame, end, waitedMs);
       verdict.place.release();
       if (end.kind === "refused") {
         ledger.set(attempt, "fenced");
--- a/src/ingress/call.ts
+++ b/src/ingress/call.ts
@@ -41,6 +41,8 @@
   attempts: number;
   /** Backend server that answered; else empty. */
   server: string;
+  /** The attempts that came before, each with its server and its end. */
+  trail?: readonly string[];
 }
 
 const STATUS_OF_REASON: Partial<Record<RefusalReason, number>> = {
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -33,6 +33,8 @@
 }
 
 const QUEUE_REFUSALS = new Set<string>(["overloaded", "cold", "no_connection"]);
+/** Share of the time to come back by which callers are spread. */
+const RETURN_SPREAD = 0.5;
 /** Time in a queue after which no second one is tried. */
 const LONG_WAIT_MS = 30;
 /**
@@ -120,6 +122,7 @@
     let crashes = 0;
     let last: AttemptEnd | undefined;
     let answered: AnswerEnd | undefined;
+    const trail: string[] = [];
     let attempts = 0;
     let reached = 0;
     const most = maxReached(routed);
@@ -153,6 +156,7 @@
           },
         });
       last = end;
+      trail.push(`${member.server}:${causeOf(end)}`);
       reached += end.kind === "not_run" && !end.reached ? 0 : 1;
       if (end.kind === "answer") {
         discard(answered);
@@ -192,9 +196,10 @@
       });
     }
     // An answer, even one of failure, is more than what came after it.
-    return answered
+    const reply = answered
       ? replyOf(answered, attempts)
       : withoutAnswer(last, { attempts, mayHaveRun, routed });
+    return { ...reply, trail };
   }
 
   function causeOf(end: AttemptEnd): string {
@@ -203,6 +208,11 @@
       : end.cause;
   }
 
+  /** Spreads a time to come back, so that callers do not return together. */
+  function spread(ms: number): number {
+    return ms * (1 + RETURN_SPREAD * parts.random.fraction());
+  }
+
   /** Creates the reply to a request that no backend server answered. */
   function withoutAnswer(
     last: AttemptEnd | undefined,
@@ -219,7 +229,9 @@
     if (!last || last.kind === "answer") {
       return notRunReply(timeUp ? "no_time" : "no_backend_server");
     }
-    const retryAfterMs = last.kind === "not_run" ? last.retryAfterMs : 0;
+    const retryAfterMs = last.kind === "not_run"
+      ? spread(last.retryAfterMs)
+      : 0;
     const reason = last.kind === "not_run" ? reasonOf(last) : "overloaded";
     return {
       ...notRunReply(reason, { attempts, retryAfterMs }),
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -8,9 +8,9 @@
 import { type Candidate, createPolicy, type Policy } from "../choosing/mod.ts";
 import type { Claim, ClaimResult, Member } from "../control/commands.ts";
 import { headerValue, KEY_HEADER } from "../core/headers.ts";
-import { createLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
+import { createRequestLog } from "../core/request_log.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import type { Attempt, Outcome } from "../network/frames.ts";
 import type { Directory, FoundRoute } from "../node/directory.ts";
@@ -120,8 +120,6 @@
 const DEFAULT_TENANT = "default";
 const LONGEST_TIMEOUT_MS = 600_000;
 const BAD_REQUEST = 400;
-/** Lines a second about requests that no backend server answered. */
-const FAILURE_LINES_PER_S = 20;
 
 /** Creates an ingress. */
 export function createIngress(options: IngressOptions): Ingress {
@@ -132,11 +130,7 @@
     staleAfterMs: () =>
       directory.global?.limits.measuring.load_stale_after_ms ?? Infinity,
   });
-  const failureLog = createLimitedLog({
-    logger: options.logger,
-    timer,
-    perSecond: FAILURE_LINES_PER_S,
-  });
+  const log = createRequestLog(options);
   const incarnations = new Map<string, string>();
   let inFlight = 0;
   let order = 0;
@@ -320,6 +314,37 @@
       : await dispatcher.run(routed);
   }
 
+  /** Logs how a request ended, and by which decisions. */
+  function logEnd(
+    call: Call,
+    { reply, routed, startedAt }: {
+      reply: Reply;
+      routed?: RoutedCall;
+      startedAt: number;
+    },
+  ): void {
+    const fields = () => ({
+      route: routed?.route.name,
+      service: routed?.route.service,
+      outcome: reply.outcome,
+      status: reply.status,
+      cause: reply.reason || undefined,
+      server: reply.server || undefined,
+      attempts: reply.attempts,
+      trail: reply.trail?.join(" "),
+      ms: Math.round(timer.now() - startedAt),
+      left_ms: routed && Math.round(routed.deadlineAt - timer.now()),
+      retry_after_ms: reply.retryAfterMs && Math.round(reply.retryAfterMs),
+      left: call.signal.cancelled || undefined,
+      version: directory.version,
+    });
+    if (reply.outcome === "ran") {
+      log.sample("request.answered", call.requestId, fields);
+    } else {
+      log.note("request.not_answered", call.requestId, fields());
+    }
+  }
+
   function record(
     call: Call,
     end: { reply: Reply; routed?: RoutedCall; startedAt: number },
@@ -331,21 +356,7 @@
       latencyMs: timer.now() - startedAt,
       outcome: reply.outcome,
     });
-    if (reply.outcome !== "ran") {
-      failureLog.info("request.not_answered", {
-        request: call.requestId,
-        route: routed?.route.name,
-        service: routed?.route.service,
-        outcome: reply.outcome,
-        status: reply.status,
-        cause: reply.reason,
-        attempts: reply.attempts,
-        ms: Math.round(timer.now() - startedAt),
-        left_ms: routed && Math.round(routed.deadlineAt - timer.now()),
-        left: call.signal.cancelled || undefined,
-        version: directory.version,
-      });
-    }
+    logEnd(call, end);
     const kind = reply.outcome === "ran"
       ? "answered"
       : reply.outcome === "not_run"
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -38,6 +38,10 @@
   request(end: RequestEnd): void;
   /** Adds to a counter. */
   count(name: string, amount?: number): void;
+  /** Adds one to a counter that is kept apart by a label. */
+  countBy(name: string, label: Label): void;
+  /** Records how long something took that is not a whole request. */
+  timing(name: string, className: string, ms: number): void;
   /** Sets a gauge that is read when metrics are shown. */
   gauge(name: string, read: () => number): void;
   /**
@@ -53,6 +57,12 @@
   text(): string;
 }
 
+/** What tells the parts of a counter from each other. */
+export interface Label {
+  name: string;
+  value: string;
+}
+
 /** How a request ended. */
 export interface RequestEnd {
   tenant: string;
@@ -74,6 +84,25 @@
   return histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
 }
 
+function microseconds(ms: number): number {
+  const value = Math.round(ms * MICROSECONDS_PER_MS);
+  return Math.min(HIGHEST_MICROSECONDS, Math.max(1, value));
+}
+
+/** Name and class of a timing; the quantile follows. */
+function timingLabels(name: string, className: string): string {
+  return `mustardcross_${name}_seconds{class="${escapeLabel(className)}"`;
+}
+
+function timingText(labels: string, histogram: Histogram): string[] {
+  const quantiles = [50, 99].map((percentile) => {
+    const seconds = milliseconds(histogram, percentile) / 1_000;
+    return `${labels},quantile="${percentile / 100}"} ${seconds}`;
+  });
+  const count = labels.replace("_seconds{", "_seconds_count{");
+  return [...quantiles, `${count}} ${histogram.totalCount}`];
+}
+
 function escapeLabel(value: string): string {
   return value.replaceAll("\\", "\\\\").replaceAll('"', '\\"')
     .replaceAll("\n", "\\n");
@@ -85,6 +114,9 @@
   const classes = new Map<string, Histogram>();
   const quantiles = new Map<string, { value: number; count: number }>();
   const counters = new Map<string, number>();
+  /** Counters kept apart by a label, by their text. */
+  const labelled = new Map<string, number>();
+  const timings = new Map<string, { labels: string; histogram: Histogram }>();
   const gauges = new Map<string, () => number>();
 
   function seriesFor(tenant: string, className: string): Series {
@@ -147,10 +179,7 @@
   return {
     request({ tenant, class: className, latencyMs, outcome }) {
       const one = seriesFor(tenant, className);
-      const value = Math.min(
-        HIGHEST_MICROSECONDS,
-        Math.max(1, Math.round(latencyMs * MICROSECONDS_PER_MS)),
-      );
+      const value = microseconds(latencyMs);
       one.histogram.recordValue(value);
       one.outcomes[outcome]++;
       if (outcome === "ran") {
@@ -160,6 +189,25 @@
     count(name, amount = 1) {
       counters.set(name, (counters.get(name) ?? 0) + amount);
     },
+    countBy(name, label) {
+      const key = `mustardcross_${name}_total{${label.name}="${
+        escapeLabel(label.value)
+      }"}`;
+      if (labelled.has(key) || labelled.size < MAX_SERIES) {
+        labelled.set(key, (labelled.get(key) ?? 0) + 1);
+      }
+    },
+    timing(name, className, ms) {
+      const key = `${name}\n${className}`;
+      const known = timings.get(key);
+      if (!known && timings.size >= MAX_SERIES) {
+        return;
+      }
+      const timing = known ??
+        { labels: timingLabels(name, className), histogram: newHistogram() };
+      timings.set(key, timing);
+      timing.histogram.recordValue(microseconds(ms));
+    },
     gauge: (name, read) => gauges.set(name, read),
     quantile(className, quantile) {
       const histogram = classes.get(className);
@@ -181,9 +229,15 @@
     counters: () => Object.fromEntries(counters),
     text() {
       const lines = [...series.values()].flatMap(seriesText);
+      for (const { labels, histogram } of timings.values()) {
+        lines.push(...timingText(labels, histogram));
+      }
       for (const [name, value] of counters) {
         lines.push(`mustardcross_${name}_total ${value}`);
       }
+      for (const [name, value] of labelled) {
+        lines.push(`${name} ${value}`);
+      }
       for (const [name, read] of gauges) {
         lines.push(`mustardcross_${name} ${read()}`);
       }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -210,6 +210,7 @@
     timer,
     logger,
     recorder,
+    metrics,
     createBackend: options.createBackend,
     shareSuspicion: (frame) => void shareSuspicion(frame),
     onNewerVersion: sync.catchUp,
@@ -222,6 +223,13 @@
     timer,
     () => directory.global?.limits.measuring.probes_per_server_per_s ?? 0,
   );
+  metrics.gauge("view_version", () => directory.version);
+  metrics.gauge("view_age_seconds", () => (timer.now() - sync.heardAt) / 1_000);
+  metrics.gauge("requests_in_flight", () => ingress.inFlight);
+  metrics.gauge("guard_in_flight", () => guard.load().inFlight);
+  metrics.gauge("guard_queued", () => guard.load().queued);
+  metrics.gauge("guard_allowed", () => guard.load().allowed);
+  metrics.gauge("server_slowness", () => guard.load().slowness);
   const open = new Set<Channel>();
   let listener: Listener | undefined;
   let announcedAt = timer.now();
--- a/src/process.ts
+++ b/src/process.ts
@@ -15,7 +15,10 @@
 import { type CallerFront, createCallerFront } from "./http/caller_front.ts";
 import type { CallerDialect } from "./http/dialect.ts";
 import { createLocalApi } from "./http/local_api.ts";
+import { watchControl } from "./control/gauges.ts";
+import { createMetricsApi } from "./http/metrics_api.ts";
 import { watchEventLoop } from "./metrics/event_loop.ts";
+import { createMetrics } from "./metrics/metrics.ts";
 import { tcpNetwork } from "./network/tcp.ts";
 import { createNode, type Node } from "./node/node.ts";
 import { createGrpcRpc } from "./rpc/grpc_rpc.ts";
@@ -92,6 +95,22 @@
   return admin;
 }
 
+/** Serves what a replica says of itself as metrics. */
+async function startControlMetrics(
+  address: string | undefined,
+  control: Control,
+): Promise<Attachment> {
+  if (!address) {
+    return NOTHING_ATTACHED;
+  }
+  const metrics = createMetrics();
+  watchControl(metrics, control);
+  watchEventLoop(metrics);
+  const api = createMetricsApi(metrics);
+  await api.listen(address);
+  return api;
+}
+
 async function startControl(
   settings: ProcessSettings,
   options: { parts: ProcessParts; platform: Platform },
@@ -113,6 +132,7 @@
   await control.start();
   const attachments = [
     await startAdmin(role, { control, parts }),
+    await startControlMetrics(role.metrics_address, control),
     await platform.attachControl?.(control, parts) ?? NOTHING_ATTACHED,
   ];
   parts.logger.info("control.started", { rpc: role.rpc_address });
--- a/src/settings/process.ts
+++ b/src/settings/process.ts
@@ -40,6 +40,8 @@
 const controlRoleSchema = z.strictObject({
   rpc_address: addressSchema.describe("Where nodes and replicas call"),
   ...adminSchema,
+  metrics_address: addressSchema.optional()
+    .describe("Where the replica's metrics are served"),
   data: z.string().describe("Data folder"),
   founders: z.record(z.string(), addressSchema)
     .describe("VM names and RPC addresses of the first replicas"),
