--- a/src/core/log_sink.ts
+++ b/src/core/log_sink.ts
@@ -22,6 +22,7 @@
 }
 
 const DEFAULT_CAPACITY_BYTES = 256 * 1024;
+const LINE_END_BYTES = 1;
 const STANDARD_OUTPUT = 1;
 
 /** Creates a sink over a function that writes. */
@@ -58,12 +59,13 @@
 
   return {
     write(line) {
-      if (waitingBytes + line.length > capacityBytes) {
+      const bytes = Buffer.byteLength(line) + LINE_END_BYTES;
+      if (waitingBytes + bytes > capacityBytes) {
         dropped++;
         return;
       }
       waiting.push(line);
-      waitingBytes += line.length;
+      waitingBytes += bytes;
       // Lines of one turn of the event loop are written together.
       writing ??= Promise.resolve().then(drain);
     },
--- a/src/metrics/metrics_test.ts
+++ b/src/metrics/metrics_test.ts
@@ -18,6 +18,6 @@
   );
   const p99 = lines.find((line) => line.includes('quantile="0.99"'));
   t.match(p99, /^mustardcross_queue_wait_seconds\{class="look",quantile=/);
-  t.ok(Math.abs(Number(p99?.split(" ")[1]) - 0.014) < 0.001, p99);
+  t.ok(Math.abs(Number(p99?.split(" ")[1]) - 0.014) < 0.001, String(p99));
   t.end();
 });
