--- a/tests/platform/lab.ts
+++ b/tests/platform/lab.ts
@@ -18,7 +18,7 @@
   parsePlatformSettings,
   type PlatformSettings,
 } from "../../platform/settings.ts";
-import { silentLogger } from "../../src/core/logger.ts";
+import { type Logger, silentLogger } from "../../src/core/logger.ts";
 import { freePorts } from "../../src/demo/ports.ts";
 import { type MustardcrossProcess, startProcess } from "../../src/process.ts";
 import { eventually } from "../processes.ts";
@@ -52,6 +52,8 @@
   beats: string;
   ready: string;
   callers: string;
+  /** Where the node shows its metrics. */
+  metricsAddress: string;
   seen: Seen[];
   process: MustardcrossProcess;
   /** Replaces what the backend server does. */
@@ -149,7 +151,9 @@
 }
 
 /** Starts everything; nothing is configured or announced yet. */
-export async function startLab(): Promise<Lab> {
+export async function startLab(
+  logger: Logger = silentLogger,
+): Promise<Lab> {
   const folder = mkdtempSync(join(tmpdir(), "mustardcross-platform-"));
   const [rpc, peer, local, operator, beats, ready, callers, server] =
     await freePorts(8);
@@ -182,7 +186,7 @@
       founders: { [address]: address },
     },
   }, {
-    logger: silentLogger,
+    logger,
     platform: {
       ...nodePlatform,
       attachControl: controlPlatform.attachControl,
@@ -194,6 +198,7 @@
     beats: `http://${HOST}:${beats}`,
     ready: `http://${HOST}:${ready}`,
     callers: `http://${HOST}:${callers}`,
+    metricsAddress: `${HOST}:${local}`,
     seen,
     process,
     behave(next) {
@@ -285,8 +290,8 @@
 }
 
 /** Starts a lab with a first manifest and an announced backend server. */
-export async function startServingLab(): Promise<Lab> {
-  const lab = await startLab();
+export async function startServingLab(logger?: Logger): Promise<Lab> {
+  const lab = await startLab(logger);
   await eventually(
     "the first manifest is accepted",
     async () =>
