Stop within the time that is left, also without control

A stopping node took its registration back with 5 s of patience and waited for a call for news, while no leader answered. Nothing was cut by it, as its requests had ended, but the bound of the stop did not hold.

Red before: leaving_test.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -101,6 +101,8 @@
 const DEFAULT_HEALTH_PATH = "/health";
 /** Time without announcements after which the backend server is gone. */
 const ANNOUNCEMENT_LEASE_MS = 10_000;
+/** Longest wait for control when the process stops, in milliseconds. */
+const FAREWELL_MS = 400;
 const FREEZE_MS = 2_000;
 const WATCH_MS = 100;
 
@@ -453,10 +455,14 @@
       await guard.drain();
     },
     async stop() {
-      await registration.leave();
-      await sync.now();
+      // Without control its lease runs out instead.
+      await Promise.race([
+        registration.leave(FAREWELL_MS).then(sync.now),
+        sleep(timer, FAREWELL_MS),
+      ]);
       await listener?.close();
-      await supervisor.stop();
+      // A call under way to control may last longer than the process has.
+      await Promise.race([supervisor.stop(), sleep(timer, FAREWELL_MS)]);
       pool.close();
       for (const channel of [...open]) {
         channel.close();
--- a/src/node/registration.ts
+++ b/src/node/registration.ts
@@ -20,8 +20,8 @@
   renewal(): Renewal | undefined;
   /** Registers, or changes what is registered. */
   register(member: Member): Promise<boolean>;
-  /** Removes the registration. */
-  leave(): Promise<void>;
+  /** Removes the registration, or gives up after a time in milliseconds. */
+  leave(timeoutMs?: number): Promise<void>;
 }
 
 /** Options of {@link createRegistration}. */
@@ -81,7 +81,7 @@
         incarnation: registered.incarnation,
       },
     register: (member) => serial.run(() => registerNow(member)),
-    leave: () =>
+    leave: (timeoutMs = TIMEOUT_MS) =>
       serial.run(async () => {
         const member = registered;
         registered = undefined;
@@ -91,7 +91,7 @@
               server: member.server,
               incarnation: member.incarnation,
             },
-            deadlineAt: timer.now() + TIMEOUT_MS,
+            deadlineAt: timer.now() + timeoutMs,
           });
         }
       }),
--- a/tests/scenario/leaving_test.ts
+++ b/tests/scenario/leaving_test.ts
@@ -28,3 +28,15 @@
   await world.timer.advance(4_000);
   t.same(membersSeenBy(world, "vm1"), ["vm1"]);
 });
+
+test("a node stops soon, also when control does not answer", async (t) => {
+  const world = await startSmallWorld({ seed: 11, servers: 2 });
+  world.rpc.fate = ({ from }) => ({ lost: from === "vm1", delayMs: 1 });
+  let stopped = false;
+  void world.vm("vm1").node.stop().then(() => {
+    stopped = true;
+  });
+  // A fifth of the time to SIGKILL is left after draining: 1.2 of 6 s.
+  await world.timer.advance(1_200);
+  t.ok(stopped, "its lease runs out instead");
+});
