--- a/src/core/request_log.ts
+++ b/src/core/request_log.ts
@@ -23,10 +23,11 @@
 const LINES_PER_S = 20;
 /** One request in so many is in the sample. */
 const SAMPLE_PERIOD = 128;
+const encoder = new TextEncoder();
 
 /** Whether a request is in the sample; the same in every process. */
 export function isSampled(request: string): boolean {
-  return hash32(new TextEncoder().encode(request)) % SAMPLE_PERIOD === 0;
+  return hash32(encoder.encode(request)) % SAMPLE_PERIOD === 0;
 }
 
 /** Creates a log of requests. */
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -6,8 +6,7 @@
 import type { Recorder } from "../account/events.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields } from "../core/errors.ts";
-import type { Logger, LogValue } from "../core/logger.ts";
-import { createRequestLog } from "../core/request_log.ts";
+import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import type { Channel } from "../network/channel.ts";
@@ -27,6 +26,7 @@
   type Applicant,
   createAdmission,
 } from "./admission.ts";
+import { createAttemptNotes, type Refusal } from "./attempt_notes.ts";
 import { createAttemptLedger } from "./attempt_ledger.ts";
 import type {
   BackendError,
@@ -37,14 +37,14 @@
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createResumption } from "./resumption.ts";
-import { type End, runAttempt } from "./run.ts";
+import { runAttempt } from "./run.ts";
 import {
   type Announcement,
   type AnnouncementResult,
   createServerLink,
 } from "./server_link.ts";
 import { createServerWatch } from "./server_watch.ts";
-import { isTurnedAway, turnsAway } from "./turn_away.ts";
+import { turnsAway } from "./turn_away.ts";
 import type { Completion, Warmup } from "./warmup.ts";
 
 /** Options of {@link createGuard}. */
@@ -112,13 +112,6 @@
   readonly quietMs: number;
 }
 
-/** Why an attempt did not run, and when a place is likely, if known. */
-interface Refusal {
-  reason: RefusalReason;
-  waitMs?: number;
-}
-
-const FIRST_SERVER_ERROR = 500;
 const LEDGER_CAPACITY = 50_000;
 const DRAIN_CHECK_MS = 10;
 const RETRY_AFTER_MS = 250;
@@ -147,7 +140,15 @@
 export function createGuard(options: GuardOptions): Guard {
   const { vm, domain, incarnation, directory, timer, logger } = options;
   const { recorder, metrics } = options;
-  const log = createRequestLog(options);
+  const notes = createAttemptNotes({
+    ...options,
+    moment: () => ({
+      load: load(),
+      cold: warmup().cold,
+      boot: link.announced?.boot,
+      reportAgeMs: link.report && link.reportAgeMs,
+    }),
+  });
   const ledger = createAttemptLedger(LEDGER_CAPACITY);
   const resumption = createResumption({
     incarnation,
@@ -350,70 +351,6 @@
     };
   }
 
-  /** What the guard knew when it decided about a request. */
-  function knowledge(frame: Attempt): Record<string, LogValue> {
-    return {
-      route: frame.class,
-      service: frame.service,
-      from: frame.from,
-      left_ms: Math.round(frame.timeLeftMs),
-      in_flight: admission.inFlight,
-      queued: admission.queued,
-      allowed: warmup().allowed,
-      cold: warmup().cold || undefined,
-      slowness: link.report?.slowness,
-      report_age_ms: link.report && Math.round(link.reportAgeMs),
-      version: directory.version,
-    };
-  }
-
-  function noteRefusal(frame: Attempt, { reason, waitMs }: Refusal): void {
-    metrics.countBy("guard_refusals", { name: "reason", value: reason });
-    const fields = () => ({
-      reason,
-      expected_wait_ms: waitMs === undefined ? undefined : Math.round(waitMs),
-      ...knowledge(frame),
-    });
-    if (isTurnedAway(reason)) {
-      log.sample("guard.turned_away", frame.requestId, fields);
-    } else {
-      log.note("guard.refused", frame.requestId, fields());
-      recordRefusal(frame, reason);
-    }
-  }
-
-  /** Notes how a request ended that ran at the backend server. */
-  function noteEnd(frame: Attempt, end: End, waitedMs: number): void {
-    metrics.countBy("guard_ends", { name: "kind", value: end.kind });
-    const fields = () => ({
-      waited_ms: Math.round(waitedMs),
-      boot: link.announced?.boot,
-      ...knowledge(frame),
-    });
-    if (end.kind === "answer" && end.status < FIRST_SERVER_ERROR) {
-      log.sample("guard.ran", frame.requestId, fields);
-      return;
-    }
-    const how = end.kind === "answer"
-      ? { outcome: "ran", status: end.status }
-      : end.kind === "refused"
-      ? { outcome: "not_run", cause: end.reason }
-      : { outcome: end.outcome, cause: end.cause };
-    log.note("guard.ran_badly", frame.requestId, { ...how, ...fields() });
-  }
-
-  function recordRefusal(frame: Attempt, reason: RefusalReason): void {
-    recorder.record({
-      kind: "refused",
-      requestId: frame.requestId,
-      service: frame.service,
-      server: vm,
-      domain,
-      outcome: "not_run",
-      cause: reason,
-    });
-  }
-
   function turnCold(cause: string): void {
     warmup().reset();
     logger.warn("guard.cold", { cause });
@@ -486,7 +423,7 @@
       : ledger.start(attempt);
     if (begun === "fenced") {
       const refused: Refusal = { reason: reason ?? away ?? "fenced", waitMs };
-      noteRefusal(frame, refused);
+      notes.refused(frame, refused);
       await channel.send(refusal(attempt, refused));
       return;
     }
@@ -504,7 +441,7 @@
     { frame, refused }: { frame: Attempt; refused: Refusal },
   ): Promise<void> {
     ledger.set(frame.attempt, "fenced");
-    noteRefusal(frame, refused);
+    notes.refused(frame, refused);
     if (!channel.closed) {
       await channel.send(refusal(frame.attempt, refused));
     }
@@ -583,7 +520,7 @@
     });
     const ending = run.ended.then((end) => {
       runWatch.ended(end);
-      noteEnd(frame, end, waitedMs);
+      notes.ended(frame, end, waitedMs);
       verdict.place.release();
       if (end.kind === "refused") {
         ledger.set(attempt, "fenced");
