Let a guard that starts again heed what the one before may have started

For one second after its start a guard counts a cold server's rate as used up. Red before: cold_rate_test.

--- a/src/guard/cold_rate.ts
+++ b/src/guard/cold_rate.ts
@@ -18,10 +18,14 @@
 
 const WINDOW_MS = 1_000;
 
-/** Creates a server that is taken for cold until it says otherwise. */
+/**
+ * Creates a server that is taken for cold until it says otherwise. Up to
+ * `unknownUntil` an earlier guard may have started as many as it bears.
+ */
 export function createColdRate(
   timer: Timer,
   limits: () => ColdRateLimits,
+  unknownUntil = -Infinity,
 ): Warmup {
   let coldUntil = Infinity;
   /** Times at which requests started within the last second. */
@@ -38,8 +42,11 @@
     const perSecond = Math.max(1, Math.floor(limits().perSecond));
     const since = timer.now() - WINDOW_MS;
     starts = starts.filter((at) => at > since);
-    const blocking = starts.at(-perSecond);
-    return blocking === undefined ? 0 : blocking - since;
+    const blocking = Math.max(
+      starts.at(-perSecond) ?? -Infinity,
+      unknownUntil,
+    );
+    return Math.max(0, blocking - since);
   }
 
   return {
--- a/src/guard/cold_rate_test.ts
+++ b/src/guard/cold_rate_test.ts
@@ -2,6 +2,7 @@
 import { createFakeTimer } from "../time/fake_timer.ts";
 import { neverCancelled } from "../core/cancellation.ts";
 import { createAdmission } from "./admission.ts";
+import type { Warmup } from "./warmup.ts";
 import { createColdRate } from "./cold_rate.ts";
 
 const LIMITS = { perSecond: 5, coldMs: 3_000, slots: 50 };
@@ -50,3 +51,32 @@
   await timer.advance(701);
   t.notOk(rate.cold);
 });
+
+test("a guard that starts again heeds what the one before may have started", async (t) => {
+  const timer = createFakeTimer();
+  const limits = () => ({ perSecond: 40, coldMs: 3_000, slots: 100 });
+  const starts: number[] = [];
+  async function run(rate: Warmup, ms: number): Promise<void> {
+    const end = timer.now() + ms;
+    while (timer.now() < end) {
+      if (rate.pauseMs === 0) {
+        rate.started();
+        starts.push(timer.now());
+      }
+      await timer.advance(1);
+    }
+  }
+  const first = createColdRate(timer, limits);
+  first.reset();
+  await run(first, 300);
+  const next = createColdRate(timer, limits, timer.now());
+  next.reset();
+  await run(next, 2_500);
+  const most = Math.max(
+    ...starts.map((at) =>
+      starts.filter((one) => one > at - 1_000 && one <= at).length
+    ),
+  );
+  t.ok(most <= 40, `${most} starts in one second`);
+  t.ok(starts.length > 80, "and it goes on after that");
+});
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -162,7 +162,7 @@
     perSecond: settings()?.cold_rate_per_s ?? 1,
     coldMs: settings()?.cold_ms ?? DEFAULT_COLD_MS,
     slots: watch.worthFilling(slots()),
-  }));
+  }), timer.now());
   const admission: Admission = createAdmission({
     timer,
     warmup,
