Do not hold work at a slow server that others could do, nor refuse it beside free places

Cause, from the incident's log: a request waited 336 ms at a guard whose server had turned slow after it came (in_flight=0 allowed=14 slowness=5), was then refused as overloaded, and no other guard was asked, since it had waited. 66 of the 233 refusals of the first 8 s were such or alike.

Change: a request that another guard may take waits 30 ms at most and is then handed back as slow or busy; one that must stay begins on the slow server when its wait was in vain, if there is room and it still ends before its deadline.

--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -21,6 +21,8 @@
 const LATE_OVERTAKEN_FACTOR = 2;
 /** Share of its time that a request waits when it can't be in time any more. */
 const LATE_PATIENCE_SHARE = 0.3;
+/** Longest wait of a request that another guard may take, in milliseconds. */
+const ELSEWHERE_PATIENCE_MS = 30;
 /** Weight of one request in the usual time for which places are held. */
 const PLACE_WEIGHT = 0.05;
 
@@ -45,6 +47,8 @@
   objectiveAt?: number;
   /** Time that such a request usually takes, in milliseconds; 0 if unknown. */
   usualMs?: number;
+  /** Whether another guard is asked if it does not run here soon. */
+  elsewhere?: boolean;
   /** Whether it must run with nothing beside it. */
   alone: boolean;
   /** Cancelled when nobody waits for the request any more. */
@@ -92,12 +96,14 @@
   warmup: () => Warmup;
   /** Time for which work had better wait for a faster server, in ms. */
   holdMs?: (usualMs: number) => number;
+  /** Time that work takes at present, as a multiple of the usual. */
+  slowness?: () => number;
   limits: AdmissionLimits;
 }
 
 /** Creates admission with nothing running. */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const { timer, warmup, holdMs = () => 0 } = options;
+  const { timer, warmup, holdMs = () => 0, slowness = () => 1 } = options;
   let { limits } = options;
   const queue = createFairQueue();
   const lonely: Waiting[] = [];
@@ -232,12 +238,31 @@
     const { deadlineAt, usualMs = 0 } = applicant;
     const startBy = deadlineAt - usualMs * LEAST_SHARE;
     return Math.min(
+      applicant.elsewhere ? ELSEWHERE_PATIENCE_MS : Infinity,
       limits.queueWaitMs,
       patienceOf(applicant),
       startBy - timer.now(),
     );
   }
 
+  /**
+   * Whether a request that waited in vain for a faster server had better begin
+   * all the same: there is room, and it will still be answered.
+   */
+  function beginsSlowly(applicant: Applicant): boolean {
+    const { deadlineAt, usualMs = 0, alone, elsewhere } = applicant;
+    const endsAt = timer.now() + usualMs * slowness() * LEAST_SHARE;
+    return !alone && !elsewhere && hasRoom() && endsAt < deadlineAt;
+  }
+
+  /** Why a request waited in vain. */
+  function reasonAfterWait(applicant: Applicant): RefusalReason {
+    if (!applicant.elsewhere || warmup().pauseMs > 0) {
+      return reasonForFull();
+    }
+    return holdMs(applicant.usualMs ?? 0) > 0 ? "slow" : "busy";
+  }
+
   function reasonForFull(): RefusalReason {
     if (inFlight >= limits.connections) {
       return "no_connection";
@@ -250,6 +275,11 @@
       const { alone, signal } = applicant;
       const timeout = timer.after(longestWaitOf(applicant), () => {
         remove();
+        if (beginsSlowly(applicant)) {
+          waiting.start();
+          return;
+        }
+        refusalReason = reasonAfterWait(applicant);
         waiting.refuse();
       });
       function remove(): void {
@@ -321,7 +351,11 @@
       const waitMs = waitOf(applicant);
       if (!applicant.alone && waitMs > longestWaitOf(applicant)) {
         // It would only wait in vain.
-        const reason = reasonForFull();
+        if (beginsSlowly(applicant)) {
+          const place = occupy(applicant);
+          return Promise.resolve({ kind: "admitted", place });
+        }
+        const reason = reasonAfterWait(applicant);
         return Promise.resolve({ kind: "refused", reason, waitMs });
       }
       return wait(applicant);
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -167,6 +167,7 @@
     timer,
     warmup,
     holdMs: (usualMs) => watch.holdMs(usualMs),
+    slowness: () => link.report?.slowness ?? 1,
     limits: { connections: 1, queueLimit: 0, queueWaitMs: 1 },
   });
   const crashes = createCrashWatch({
@@ -333,6 +334,7 @@
         ? undefined
         : now + objectiveLeftMs,
       usualMs: watch.usualMs(frame.class),
+      elsewhere: frame.elsewhere,
       ...options,
     };
   }
