Say in one place why an attempt does not run at a guard

A newcomer's reading: the estimate of the wait, the standing and the ledger stood in one function, and the estimate was made also for attempts that can't go elsewhere.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { Recorder } from "../account/events.ts";
-import { type Cancellation, createCanceller } from "../core/cancellation.ts";
+import {
+  type Cancellation,
+  createCanceller,
+  neverCancelled,
+} from "../core/cancellation.ts";
 import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
@@ -303,20 +307,28 @@
   }
 
   /** Why another guard is the better place, if the sender will ask one. */
-  function betterElsewhere(
-    frame: Attempt,
-    waitMs: number,
-  ): RefusalReason | undefined {
+  function betterElsewhere(frame: Attempt): Refusal | undefined {
+    if (!frame.elsewhere) {
+      return undefined;
+    }
     const { objectiveLeftMs = Infinity } = frame;
-    return frame.elsewhere
-      ? turnsAway({
-        slowness: link.report?.slowness ?? 1,
-        reportAgeMs: link.reportAgeMs,
-        waitMs,
-        slackMs: objectiveLeftMs - watch.usualMs(frame.class),
-        failingShare: watch.failingShare(),
-      })
-      : undefined;
+    const waitMs = admission.expectedWaitMs(
+      applicantOf(frame, { alone: false, signal: neverCancelled }),
+    );
+    const reason = turnsAway({
+      slowness: link.report?.slowness ?? 1,
+      reportAgeMs: link.reportAgeMs,
+      waitMs,
+      slackMs: objectiveLeftMs - watch.usualMs(frame.class),
+      failingShare: watch.failingShare(),
+    });
+    return reason && { reason, waitMs };
+  }
+
+  /** Why an attempt does not run here, if that is certain at once. */
+  function refusalOf(frame: Attempt): Refusal | undefined {
+    const reason = standing(frame);
+    return reason ? { reason } : betterElsewhere(frame);
   }
 
   /** The attempt as it asks to run. */
@@ -413,18 +425,10 @@
     if (frame.version > directory.version) {
       options.onNewerVersion(frame.version, frame.from);
     }
-    const reason = standing(frame);
-    const waitMs = reason ? undefined : admission.expectedWaitMs(
-      applicantOf(frame, { alone: false, signal: createCanceller() }),
-    );
-    const away = waitMs === undefined
-      ? undefined
-      : betterElsewhere(frame, waitMs);
-    const begun = reason ?? away
-      ? ledger.fence(attempt)
-      : ledger.start(attempt);
+    const refusedAtOnce = refusalOf(frame);
+    const begun = refusedAtOnce ? ledger.fence(attempt) : ledger.start(attempt);
     if (begun === "fenced") {
-      const refused: Refusal = { reason: reason ?? away ?? "fenced", waitMs };
+      const refused = refusedAtOnce ?? { reason: "fenced" };
       notes.refused(frame, refused);
       await channel.send(refusal(attempt, refused));
       return;
