Part how long a request may wait from admission; one name for one thing

patience.ts holds what is in time, too late or waited for long enough, apart from places and queues. The estimate of the wait was called as the choosing policy is: expected_wait; it is wait_estimate now. Nothing else changes.

--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -7,22 +7,21 @@
 import type { RefusalReason } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
 import type { Subscription } from "../time/timer.ts";
+import {
+  canEnd,
+  inTimeLeftMs,
+  longestWaitMs,
+  type Timing,
+} from "./patience.ts";
+import { expectedWaitMs } from "./wait_estimate.ts";
 import type { Warmup } from "./warmup.ts";
-import { expectedWaitMs } from "./expected_wait.ts";
+
 import { createFairQueue, type Standing, type Waiting } from "./queue.ts";
 
-/** Share of the usual time that a request takes at least. */
-const LEAST_SHARE = 0.9;
-/** Multiple of the usual time that most requests stay below. */
-const MOST_SHARE = 1.3;
 /** Factor on the expected turn of a request, for what may still overtake it. */
 const OVERTAKEN_FACTOR = 1.4;
 /** The same for what is late: all that is in time goes before it. */
 const LATE_OVERTAKEN_FACTOR = 2;
-/** Share of its time that a request waits when it can't be in time any more. */
-const LATE_PATIENCE_SHARE = 0.3;
-/** Longest wait of a request that another guard may take, in milliseconds. */
-const ELSEWHERE_PATIENCE_MS = 30;
 /** Weight of one request in the usual time for which places are held. */
 const PLACE_WEIGHT = 0.05;
 
@@ -37,18 +36,10 @@
 }
 
 /** A request that asks to run. */
-export interface Applicant {
+export interface Applicant extends Timing {
   tenant: string;
   /** Rank of the request; 0 goes first. */
   rank: number;
-  /** Monotonic time by which it must have been answered. */
-  deadlineAt: number;
-  /** Monotonic time by which an answer is worth most, if there is one. */
-  objectiveAt?: number;
-  /** Time that such a request usually takes, in milliseconds; 0 if unknown. */
-  usualMs?: number;
-  /** Whether another guard is asked if it does not run here soon. */
-  elsewhere?: boolean;
   /** Whether it must run with nothing beside it. */
   alone: boolean;
   /** Cancelled when nobody waits for the request any more. */
@@ -186,25 +177,6 @@
     }
   }
 
-  /**
-   * Longest wait of a request: for as long as its objective can be met, and
-   * for a part of its time beyond that, when it only fills idle places.
-   */
-  function patienceOf(applicant: Applicant): number {
-    const { objectiveAt, deadlineAt, usualMs = 0 } = applicant;
-    if (objectiveAt === undefined) {
-      return Infinity;
-    }
-    const left = deadlineAt - usualMs - timer.now();
-    return Math.max(inTimeLeftOf(applicant), left * LATE_PATIENCE_SHARE);
-  }
-
-  /** Time that a request can wait and still be within its objective. */
-  function inTimeLeftOf(applicant: Applicant): number {
-    const { objectiveAt = Infinity, usualMs = 0 } = applicant;
-    return objectiveAt - usualMs * MOST_SHARE - timer.now();
-  }
-
   /** How a request stands in the queue, apart from what it waits for. */
   function standingOf(applicant: Applicant): Standing {
     const { tenant, rank, deadlineAt, usualMs = 0 } = applicant;
@@ -212,7 +184,7 @@
       tenant,
       rank,
       deadlineAt,
-      inTime: () => inTimeLeftOf(applicant) >= 0,
+      inTime: () => inTimeLeftMs(applicant, timer.now()) >= 0,
       fits: () => holdMs(usualMs) === 0,
     };
   }
@@ -235,14 +207,8 @@
 
   /** Longest time that a request is let wait. */
   function longestWaitOf(applicant: Applicant): number {
-    const { deadlineAt, usualMs = 0 } = applicant;
-    const startBy = deadlineAt - usualMs * LEAST_SHARE;
-    return Math.min(
-      applicant.elsewhere ? ELSEWHERE_PATIENCE_MS : Infinity,
-      limits.queueWaitMs,
-      patienceOf(applicant),
-      startBy - timer.now(),
-    );
+    const own = longestWaitMs(applicant, timer.now());
+    return Math.min(limits.queueWaitMs, own);
   }
 
   /**
@@ -250,9 +216,9 @@
    * all the same: there is room, and it will still be answered.
    */
   function beginsSlowly(applicant: Applicant): boolean {
-    const { deadlineAt, usualMs = 0, alone, elsewhere } = applicant;
-    const endsAt = timer.now() + usualMs * slowness() * LEAST_SHARE;
-    return !alone && !elsewhere && hasRoom() && endsAt < deadlineAt;
+    const { alone, elsewhere } = applicant;
+    const moment = { now: timer.now(), slowness: slowness() };
+    return !alone && !elsewhere && hasRoom() && canEnd(applicant, moment);
   }
 
   /** Why a request waited in vain. */
@@ -338,7 +304,7 @@
         return Promise.resolve({ kind: "refused", reason: "cancelled" });
       }
       const usualMs = applicant.usualMs ?? 0;
-      if (applicant.deadlineAt - timer.now() <= usualMs * LEAST_SHARE) {
+      if (!canEnd(applicant, { now: timer.now() })) {
         return Promise.resolve({ kind: "refused", reason: "no_time" });
       }
       const free = applicant.alone
--- /dev/null
+++ b/src/guard/patience.ts
@@ -0,0 +1,61 @@
+/**
+ * How long a request may wait at a guard, and what is too late to begin.
+ *
+ * Answers a load above what the server can do: waiting until just the usual
+ * time is left would start everything at that limit, and whatever takes longer
+ * than usual would be late.
+ * @module
+ */
+
+/** What a request's patience follows from. */
+export interface Timing {
+  /** Monotonic time by which it must have been answered. */
+  deadlineAt: number;
+  /** Monotonic time by which an answer is worth most, if there is one. */
+  objectiveAt?: number;
+  /** Time that such a request usually takes, in milliseconds; 0 if unknown. */
+  usualMs?: number;
+  /** Whether another guard is asked if it does not run here soon. */
+  elsewhere?: boolean;
+}
+
+/** Share of the usual time that a request takes at least. */
+const LEAST_SHARE = 0.9;
+/** Multiple of the usual time that most requests stay below. */
+const MOST_SHARE = 1.3;
+/** Share of its time that a request waits when it can't be in time any more. */
+const LATE_PATIENCE_SHARE = 0.3;
+/** Longest wait of a request that another guard may take, in milliseconds. */
+const ELSEWHERE_PATIENCE_MS = 30;
+
+/** Returns for how long it can wait and still be within its objective, in ms. */
+export function inTimeLeftMs(timing: Timing, now: number): number {
+  const { objectiveAt = Infinity, usualMs = 0 } = timing;
+  return objectiveAt - usualMs * MOST_SHARE - now;
+}
+
+/** Whether it would end before its deadline if it began now, in all likelihood. */
+export function canEnd(
+  { deadlineAt, usualMs = 0 }: Timing,
+  { now, slowness = 1 }: { now: number; slowness?: number },
+): boolean {
+  return now + usualMs * slowness * LEAST_SHARE < deadlineAt;
+}
+
+/**
+ * Returns the longest wait in ms: for as long as its objective can be met, and
+ * for a part of its time beyond that, when it only fills idle places.
+ */
+export function longestWaitMs(timing: Timing, now: number): number {
+  const { objectiveAt, deadlineAt, usualMs = 0, elsewhere } = timing;
+  const late = (deadlineAt - usualMs - now) * LATE_PATIENCE_SHARE;
+  const patience = objectiveAt === undefined
+    ? Infinity
+    : Math.max(inTimeLeftMs(timing, now), late);
+  const startBy = deadlineAt - usualMs * LEAST_SHARE;
+  return Math.min(
+    elsewhere ? ELSEWHERE_PATIENCE_MS : Infinity,
+    patience,
+    startBy - now,
+  );
+}
--- a/src/guard/expected_wait_test.ts
+++ b/src/guard/wait_estimate_test.ts
@@ -4,7 +4,7 @@
 import { createFakeTimer } from "../time/fake_timer.ts";
 import { type Applicant, createAdmission } from "./admission.ts";
 import { createColdRate } from "./cold_rate.ts";
-import { expectedWaitMs, type QueueMoment } from "./expected_wait.ts";
+import { expectedWaitMs, type QueueMoment } from "./wait_estimate.ts";
 
 const WORK_MS = 100;
 const SLOTS = 10;
