--- a/src/network/fake_network.ts
+++ b/src/network/fake_network.ts
@@ -33,6 +33,11 @@
   silence(one: string, other: string): void;
   /** Closes every connection and listener of a host, as a crash would. */
   kill(host: string): void;
+  /**
+   * Holds up the process of a host: its kernel takes connections and bytes,
+   * but the process neither reads nor writes until the result is called.
+   */
+  holdUp(host: string): () => void;
   /** Changes each frame on its way; returning `undefined` loses it. */
   replace(change: (frame: Frame, to: string) => Frame | undefined): void;
 }
@@ -52,6 +57,8 @@
   const listeners = new Map<string, (channel: Channel) => void>();
   const connections = new Set<Connection>();
   const changes: ((frame: Frame, to: string) => Frame | undefined)[] = [];
+  /** What waits for processes that are held up. */
+  const heldUp = new Map<string, (() => void)[]>();
   let nextPort = 40_000;
 
   function changed(frame: Frame, to: string): Frame | undefined {
@@ -62,6 +69,16 @@
     return passed;
   }
 
+  /** Does something in the process of a host, once that is not held up. */
+  function inProcess(host: string, task: () => void): void {
+    const waiting = heldUp.get(host);
+    if (waiting) {
+      waiting.push(task);
+    } else {
+      task();
+    }
+  }
+
   function link(from: string, to: string): Link {
     const name = `${from}>${to}`;
     const known = links.get(name) ??
@@ -94,11 +111,12 @@
       if (cut || connection.silent) {
         return;
       }
-      timer.after(delayMs, () => {
-        if (!connection.silent) {
-          arrive(connection.ends[1 - index]);
-        }
-      });
+      inProcess(from, () =>
+        timer.after(delayMs, () => {
+          if (!connection.silent) {
+            inProcess(to, () => arrive(connection.ends[1 - index]));
+          }
+        }));
     }
     const channel: Channel = {
       peer,
@@ -166,7 +184,7 @@
     connection.ends.push(createEnd(connection, { index: 0, peer: address }));
     connection.ends.push(createEnd(connection, { index: 1, peer }));
     connections.add(connection);
-    accept(connection.ends[1].channel);
+    inProcess(target, () => accept(connection.ends[1].channel));
     return connection.ends[0].channel;
   }
 
@@ -194,6 +212,14 @@
         }
       }
     },
+    holdUp(host) {
+      heldUp.set(host, heldUp.get(host) ?? []);
+      return () => {
+        const waiting = heldUp.get(host) ?? [];
+        heldUp.delete(host);
+        waiting.forEach((task) => task());
+      };
+    },
     kill(host) {
       for (const address of [...listeners.keys()]) {
         if (hostOf(address) === host) {
--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -24,6 +24,7 @@
 import type { Site } from "../../src/settings/site.ts";
 import { createFakeTimer, type FakeTimer } from "../../src/time/fake_timer.ts";
 import { type Cluster, createCluster } from "./cluster.ts";
+import { createFreezer, type Freezer } from "./freezer.ts";
 import {
   createFakeServer,
   type FakeServer,
@@ -89,6 +90,11 @@
   begin(): Promise<void>;
   /** Sends a call through a node; the record fills as it goes on. */
   call(order: CallOrder): CallRecord;
+  /**
+   * Holds up a node process for some time: nothing in it runs, and what comes
+   * waits in its sockets. When it goes on, its timers run first.
+   */
+  holdUp(name: string, durationMs: number): void;
   /** Ends a node process at once. */
   killNode(name: string): void;
   /** Starts a node process again, with nothing of its memory left. */
@@ -117,6 +123,7 @@
   const rpc = createFakeRpcNetwork(timer, DELAY_MS);
   const calls: CallRecord[] = [];
   const reports: string[] = [];
+  const freezers = new Map<string, Freezer>();
   const cluster = createCluster({
     timer,
     random,
@@ -132,6 +139,12 @@
     });
   }
 
+  function freezerOf(name: string): Freezer {
+    const freezer = freezers.get(name) ?? createFreezer(timer);
+    freezers.set(name, freezer);
+    return freezer;
+  }
+
   function buildNode(vm: Pick<Vm, "name" | "domain" | "server">): Vm {
     const supervisor = newSupervisor(vm.name);
     const ownRpc = rpc.from(vm.name);
@@ -143,7 +156,7 @@
       controlAddresses: cluster.addresses,
       network: network.from(vm.name),
       rpc: ownRpc,
-      timer,
+      timer: freezerOf(vm.name).timer,
       random: createSeededRandom(random.integer(2 ** 31)),
       logger: silentLogger,
       supervisor,
@@ -281,6 +294,15 @@
       });
       return record;
     },
+    holdUp(name, durationMs) {
+      const freezer = freezerOf(name);
+      const letRead = network.holdUp(name);
+      freezer.freeze();
+      timer.after(durationMs, () => {
+        freezer.thaw();
+        letRead();
+      });
+    },
     killNode(name) {
       const vm = vmNamed(name);
       vm.alive = false;
