--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -17,7 +17,6 @@
 import type {
   Attempt,
   AttemptId,
-  Failed,
   Frame,
   Load,
   RefusalReason,
@@ -41,7 +40,7 @@
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createResumption } from "./resumption.ts";
-import { runAttempt } from "./run.ts";
+import { type End, runAttempt } from "./run.ts";
 import {
   type Announcement,
   type AnnouncementResult,
@@ -436,26 +435,36 @@
       channel.close();
       return;
     }
-    await admitAndRun(channel, frame);
+    const taken = resumption.take(attempt);
+    try {
+      await admitAndRun(channel, { frame, ended: taken.ended });
+    } finally {
+      taken.release();
+    }
   }
 
   /** Refuses an attempt that the ledger took in, but that did not run. */
   async function refuseStarted(
     channel: Channel,
     { frame, refused }: { frame: Attempt; refused: Refusal },
-  ): Promise<void> {
+  ): Promise<Refused> {
     ledger.set(frame.attempt, "fenced");
     notes.refused(frame, refused);
+    const end = refusal(frame.attempt, refused);
     if (!channel.closed) {
-      await channel.send(refusal(frame.attempt, refused));
+      await channel.send(end);
     }
+    return end;
   }
 
-  async function admitAndRun(channel: Channel, frame: Attempt): Promise<void> {
+  async function admitAndRun(
+    channel: Channel,
+    { frame, ended }: { frame: Attempt; ended: (end: End) => void },
+  ): Promise<void> {
     const gone = createCanceller();
     const release = channel.onClose(gone.cancel);
     try {
-      await admitWhileWanted(channel, { frame, gone });
+      await admitWhileWanted(channel, { frame, gone, ended });
     } finally {
       release();
     }
@@ -463,7 +472,11 @@
 
   async function admitWhileWanted(
     channel: Channel,
-    { frame, gone }: { frame: Attempt; gone: Cancellation },
+    { frame, gone, ended }: {
+      frame: Attempt;
+      gone: Cancellation;
+      ended: (end: End) => void;
+    },
   ): Promise<void> {
     const { attempt } = frame;
     const suspicion = crashes.judge(frame.fingerprint);
@@ -480,7 +493,7 @@
     metrics.timing("queue_wait", frame.class, waitedMs);
     keepalive.cancel();
     if (verdict.kind === "refused") {
-      await refuseStarted(channel, { frame, refused: verdict });
+      ended(await refuseStarted(channel, { frame, refused: verdict }));
       return;
     }
     // The standing may have changed during the wait.
@@ -489,7 +502,7 @@
     if (late || !backend) {
       verdict.place.release();
       const reason = late ?? "no_backend_server";
-      await refuseStarted(channel, { frame, refused: { reason } });
+      ended(await refuseStarted(channel, { frame, refused: { reason } }));
       return;
     }
     const runWatch = watch.begin({
@@ -528,36 +541,23 @@
       verdict.place.release();
       if (end.kind === "refused") {
         ledger.set(attempt, "fenced");
-        return shedEnding(end);
+        ended(end);
+        return;
       }
       ledger.set(attempt, end.kind === "answer" ? "finished" : "failed");
       resumption.keep(end);
       if (alone && end.kind === "answer") {
         crashes.acquit(frame.fingerprint);
       }
-      return end;
+      ended(end);
     });
-    const release = resumption.runs(attempt, ending);
     try {
       await run.delivered;
     } finally {
       await ending;
-      release();
     }
   }
 
-  function shedEnding(end: Refused): Failed {
-    return {
-      kind: "failed",
-      attempt: end.attempt,
-      outcome: "not_run",
-      cause: end.reason,
-      crashed: false,
-      reached: true,
-      load: end.load,
-    };
-  }
-
   async function serveFrame(channel: Channel, frame: Frame): Promise<void> {
     switch (frame.kind) {
       case "attempt":
--- a/src/guard/resumption.ts
+++ b/src/guard/resumption.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import type { Channel } from "../network/channel.ts";
-import type { Answer, AttemptId, Failed, Load } from "../network/frames.ts";
+import type { AttemptId, Failed, Load } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
 import { attemptKey, type AttemptLedger } from "./attempt_ledger.ts";
 import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
+import type { End } from "./run.ts";
 
 /** Options of {@link createResumption}. */
 export interface ResumptionOptions {
@@ -19,10 +20,18 @@
   keepaliveMs: () => number;
 }
 
+/** An attempt that waits or runs. */
+export interface TakenAttempt {
+  /** Tells those who wait how it ended. */
+  ended(end: End): void;
+  /** Its end was delivered, or its channel is lost. */
+  release(): void;
+}
+
 /** Answers of attempts for those who lost their channel. */
 export interface Resumption {
-  /** An attempt runs; call the result once its end was delivered. */
-  runs(attempt: AttemptId, ending: Promise<KeptEnd>): () => void;
+  /** An attempt waits or runs here; its end can be asked for from now on. */
+  take(attempt: AttemptId): TakenAttempt;
   /** Keeps the end of an attempt. */
   keep(end: KeptEnd): void;
   /** Sends the end of an attempt, as far as it is known. */
@@ -38,13 +47,13 @@
 export function createResumption(options: ResumptionOptions): Resumption {
   const { incarnation, ledger, timer, load, keepaliveMs } = options;
   const kept = createKeptAnswers(KEPT_ANSWER_BYTES);
-  const running = new Map<string, Promise<KeptEnd>>();
+  const running = new Map<string, Promise<End>>();
 
   /** Waits for an attempt that runs, and shows that it is waited for. */
   async function endOf(
     channel: Channel,
     attempt: AttemptId,
-  ): Promise<KeptEnd | undefined> {
+  ): Promise<End | undefined> {
     const keepalive = timer.every(keepaliveMs(), () => {
       void channel.send({ kind: "pong" }).catch(() => {});
     });
@@ -55,10 +64,16 @@
   }
 
   return {
-    runs(attempt, ending) {
+    take(attempt) {
       const key = attemptKey(attempt);
-      running.set(key, ending);
-      return () => running.delete(key);
+      let ended: TakenAttempt["ended"] = () => {};
+      running.set(
+        key,
+        new Promise((resolve) => {
+          ended = resolve;
+        }),
+      );
+      return { ended, release: () => running.delete(key) };
     },
     keep: kept.keep,
     async serve(channel, { attempt, incarnation: meant }) {
@@ -76,8 +91,7 @@
         return;
       }
       const end = await endOf(channel, attempt);
-      const whole: Answer | Failed | undefined =
-        end?.kind === "answer" && end.streaming ? undefined : end;
+      const whole = end?.kind === "answer" && end.streaming ? undefined : end;
       await channel.send(
         whole ? { ...whole, load: load() } : {
           ...unknown,
--- a/src/ingress/answer_sizes.ts
+++ b/src/ingress/answer_sizes.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { headerValue } from "../core/headers.ts";
-import type { ReceivedAnswer } from "./exchange.ts";
+import type { ReceivedAnswer } from "./conversation.ts";
 
 /** Sizes of answers by kind of request. */
 export interface AnswerSizes {
--- a/src/ingress/answer_sizes_test.ts
+++ b/src/ingress/answer_sizes_test.ts
@@ -1,7 +1,7 @@
 import { test } from "tap";
 import type { Answer } from "../network/frames.ts";
 import { createAnswerSizes } from "./answer_sizes.ts";
-import type { ReceivedAnswer } from "./exchange.ts";
+import type { ReceivedAnswer } from "./conversation.ts";
 
 async function* nothing(): AsyncGenerator<Uint8Array> {}
 
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -7,7 +7,7 @@
 import type { Cancellation } from "../core/cancellation.ts";
 import type { AttemptId, FenceState } from "../network/frames.ts";
 import type { Reply } from "./call.ts";
-import type { ExchangeEnd, ReceivedAnswer } from "./exchange.ts";
+import type { ExchangeEnd, ReceivedAnswer } from "./conversation.ts";
 import type { IngressParts, RoutedCall } from "./ingress.ts";
 
 /** An attempt that certainly did not run. */
@@ -104,8 +104,7 @@
     const state = await exchanger.fence(target);
     recordFence(parts, { routed, member, state });
     if (state === "fenced") {
-      finish({ latencyMs: timer.now() - startedAt, ok: false });
-      return notRun("fenced after a lost connection");
+      return fenced("fenced after a lost connection");
     }
     if (state === "running" || state === "finished" || state === "failed") {
       end = await exchanger.resume(target);
@@ -113,6 +112,12 @@
   }
   return conclude(end);
 
+  /** The attempt went out, and never starts. */
+  function fenced(cause: string): AttemptEnd {
+    finish({ latencyMs: timer.now() - startedAt, ok: false });
+    return notRun(cause);
+  }
+
   function notRun(cause: string, more: Partial<NotRun> = {}): AttemptEnd {
     return {
       kind: "not_run",
@@ -126,6 +131,9 @@
 
   function conclude(last: ExchangeEnd): AttemptEnd {
     const latencyMs = timer.now() - startedAt;
+    if (last.kind === "fenced") {
+      return fenced("fenced after a silence");
+    }
     if (last.kind === "lost") {
       const cancelled = signal.cancelled;
       finish({ latencyMs, ok: cancelled, cancelled });
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -1,40 +1,25 @@
 /**
  * One exchange with a guard: an attempt goes out, and its end comes back.
+ *
+ * A silent guard is not lost: it is asked, and the attempt goes on until that
+ * shows that it is lost, or the deadline comes. The sender may end an attempt
+ * by its signal; the guard then sees the channel close.
  * @module
  */
-import type { Cancellation } from "../core/cancellation.ts";
-import { errorMessage, StepError } from "../core/errors.ts";
+import { type Cancellation, neverCancelled } from "../core/cancellation.ts";
+import { errorMessage } from "../core/errors.ts";
 import type { Channel } from "../network/channel.ts";
-import type {
-  Answer,
-  Attempt,
-  AttemptId,
-  Failed,
-  FenceState,
-  Frame,
-  Refused,
-} from "../network/frames.ts";
-import { type Timer, withTimeout } from "../time/timer.ts";
+import type { Attempt, AttemptId, FenceState } from "../network/frames.ts";
+import type { Timer } from "../time/timer.ts";
+import {
+  type Conversation,
+  createEnds,
+  type ExchangeEnd,
+  type Work,
+} from "./conversation.ts";
+import { createInquiries, type SilenceFinding } from "./inquiry.ts";
 import type { PeerPool } from "./peer_pool.ts";
-
-/** An answer whose body goes on as a stream, or is whole. */
-export interface ReceivedAnswer {
-  kind: "answer";
-  answer: Answer;
-  /** Throws `StepError` when the stream is cut. */
-  body: Uint8Array | AsyncIterable<Uint8Array>;
-}
-
-/** The connection was lost before the end came. */
-export interface Lost {
-  kind: "lost";
-  /** Whether the attempt was sent at all. */
-  sent: boolean;
-  cause: string;
-}
-
-/** How an exchange ended. */
-export type ExchangeEnd = ReceivedAnswer | Refused | Failed | Lost;
+import { createReachability } from "./reachability.ts";
 
 /** One exchange. */
 export interface Exchange {
@@ -43,7 +28,7 @@
   attempt: Attempt;
   /** Body to be streamed once the attempt is admitted. */
   stream?: AsyncIterable<Uint8Array>;
-  /** The guard says that the attempt has begun on a slow server. */
+  /** The guard says that the attempt has begun on a slow server, or is silent. */
   onSlow?: () => void;
   /** Cancelled when nobody waits for the end any more. */
   signal: Cancellation;
@@ -76,148 +61,54 @@
   timer: Timer;
   /** Longest silence of a guard in milliseconds. */
   silenceMs: () => number;
-}
-
-/** What one exchange sends, and whose end it waits for. */
-interface Work {
-  request: Frame;
-  attempt: AttemptId;
-  deadlineAt: number;
-  signal: Cancellation;
-  stream?: AsyncIterable<Uint8Array>;
-  onSlow?: () => void;
-}
-
-function sameAttempt(one: AttemptId, other: AttemptId): boolean {
-  return one.source === other.source && one.order === other.order;
+  /** A guard was silent, and this is what it turned out to be. */
+  onSilence?: (finding: SilenceFinding) => void;
 }
 
 /** Creates an exchanger over a pool. */
 export function createExchanger(options: ExchangerOptions): Exchanger {
-  const { pool, timer, silenceMs } = options;
-
-  /** Receives a frame, or throws when the peer is silent or gone. */
-  async function next(channel: Channel, deadlineAt: number): Promise<Frame> {
-    const left = Math.max(0, deadlineAt - timer.now());
-    const frame = await withTimeout(timer, channel.receive(), {
-      step: "exchange.receive",
-      peer: channel.peer,
-      timeoutMs: Math.min(left, silenceMs()),
-    });
-    if (!frame) {
-      throw new StepError("exchange.receive", "connection closed", {
-        peer: channel.peer,
-      });
-    }
-    return frame;
-  }
+  const { pool } = options;
+  const reachability = createReachability(pool);
+  const ends = createEnds({ pool, reachability });
+  const inquiries = createInquiries({ ...options, reachability, ends });
 
-  /** Receives the next frame that is more than a sign of life. */
-  async function nextContent(
-    channel: Channel,
-    deadlineAt: number,
-  ): Promise<Frame> {
+  async function receiveEnd(talk: Conversation): Promise<ExchangeEnd> {
+    const { channel, reader, work } = talk;
     while (true) {
-      const frame = await next(channel, deadlineAt);
-      if (frame.kind !== "pong") {
-        return frame;
-      }
-    }
-  }
-
-  async function* streamFrom(
-    channel: Channel,
-    first: Uint8Array,
-  ): AsyncGenerator<Uint8Array> {
-    let whole = false;
-    try {
-      yield first;
-      while (true) {
-        // A long body may take its time; only silence ends it.
-        const frame = await nextContent(channel, Infinity);
-        if (frame.kind === "slow") {
-          continue;
-        }
-        if (frame.kind === "end") {
-          whole = true;
-          return;
+      const next = await reader.next(work.deadlineAt);
+      if (next.kind !== "silence") {
+        const end = ends.of(next, talk);
+        if (end) {
+          return end;
         }
-        if (frame.kind !== "data") {
-          throw new StepError("exchange.stream", `got ${frame.kind}`, {
-            peer: channel.peer,
-          });
-        }
-        yield frame.bytes;
-      }
-    } finally {
-      if (whole) {
-        pool.giveBack(channel);
-      } else {
-        channel.close();
-      }
-    }
-  }
-
-  async function sendStream(
-    channel: Channel,
-    stream: AsyncIterable<Uint8Array>,
-  ): Promise<void> {
-    try {
-      for await (const bytes of stream) {
-        await channel.send({ kind: "data", bytes });
-      }
-      await channel.send({ kind: "end" });
-    } catch {
-      // A cut request body must not look like a whole one.
-      channel.close();
-    }
-  }
-
-  async function receiveEnd(
-    channel: Channel,
-    exchange: Omit<Work, "request" | "signal">,
-  ): Promise<ExchangeEnd> {
-    const { attempt, deadlineAt, stream } = exchange;
-    while (true) {
-      const frame = await nextContent(channel, deadlineAt);
-      if (frame.kind === "slow") {
-        exchange.onSlow?.();
-        continue;
-      }
-      if (frame.kind === "admitted" && stream) {
-        void sendStream(channel, stream);
         continue;
       }
-      const isEnd = frame.kind === "answer" || frame.kind === "refused" ||
-        frame.kind === "failed";
-      if (!isEnd || !sameAttempt(frame.attempt, attempt)) {
-        throw new StepError("exchange.receive", `unexpected ${frame.kind}`, {
-          peer: channel.peer,
-        });
-      }
-      if (frame.kind !== "answer") {
-        pool.giveBack(channel);
-        return frame;
-      }
-      if (!frame.streaming) {
-        pool.giveBack(channel);
-        return { kind: "answer", answer: frame, body: frame.body };
+      const end = await inquiries.settle(talk, next);
+      if (end) {
+        // The old connection stayed silent while a new one brought an answer.
+        channel.close();
+        pool.retire(channel.peer);
+        return end;
       }
-      const body = streamFrom(channel, frame.body);
-      return { kind: "answer", answer: frame, body };
     }
   }
 
-  /** Runs an exchange on a channel and closes it unless it ended whole. */
+  /** Sends the request of an exchange, and closes its channel if it is lost. */
   async function onChannel(
     channel: Channel,
-    work: Work,
+    { work, receive }: {
+      work: Work;
+      receive: (talk: Conversation) => Promise<ExchangeEnd>;
+    },
   ): Promise<ExchangeEnd> {
     const { signal } = work;
     const release = signal.onCancel(channel.close);
     try {
-      await channel.send(work.request);
-      return await receiveEnd(channel, work);
+      return await receive({
+        channel,
+        reader: inquiries.readerOf(channel),
+        work,
+      });
     } catch (error) {
       channel.close();
       if (!signal.cancelled) {
@@ -229,38 +120,50 @@
     }
   }
 
-  /** Runs an exchange on a channel to a guard. */
-  async function to(address: string, work: Work): Promise<ExchangeEnd> {
-    let channel: Channel;
-    try {
-      channel = await pool.take(address);
-    } catch (error) {
-      return { kind: "lost", sent: false, cause: errorMessage(error) };
-    }
-    return await onChannel(channel, work);
-  }
-
   return {
-    run: ({ address, attempt, ...rest }) =>
-      to(address, { request: attempt, attempt: attempt.attempt, ...rest }),
-    async fence({ address, attempt, incarnation, deadlineAt }) {
+    async run({ address, attempt, ...rest }) {
+      let channel: Channel;
+      try {
+        channel = await pool.take(address);
+      } catch (error) {
+        return { kind: "lost", sent: false, cause: errorMessage(error) };
+      }
+      return await onChannel(channel, {
+        work: {
+          requestId: attempt.requestId,
+          attempt: attempt.attempt,
+          incarnation: attempt.incarnation,
+          ...rest,
+        },
+        async receive(talk) {
+          await channel.send(attempt);
+          return await receiveEnd(talk);
+        },
+      });
+    },
+    async fence({ address, signal: _, ...target }) {
       let channel: Channel | undefined;
       try {
         channel = await pool.connect(address);
-        await channel.send({ kind: "fence", attempt, incarnation });
-        const frame = await nextContent(channel, deadlineAt);
+        const reader = inquiries.readerOf(channel);
+        const work = { ...target, requestId: "", signal: neverCancelled };
+        const state = await inquiries.askState({ channel, reader, work });
         pool.giveBack(channel);
-        return frame.kind === "fence_state" ? frame.state : "unreachable";
+        return state;
       } catch {
         channel?.close();
         return "unreachable";
       }
     },
-    resume: ({ address, attempt, incarnation, ...rest }) =>
-      to(address, {
-        request: { kind: "resume", attempt, incarnation },
-        attempt,
-        ...rest,
-      }),
+    async resume({ address, ...target }) {
+      let channel: Channel;
+      try {
+        channel = await pool.take(address);
+      } catch (error) {
+        return { kind: "lost", sent: false, cause: errorMessage(error) };
+      }
+      const work = { ...target, requestId: "" };
+      return await onChannel(channel, { work, receive: inquiries.takeUp });
+    },
   };
 }
--- /dev/null
+++ b/src/ingress/exchange_test.ts
@@ -0,0 +1,211 @@
+import { test } from "tap";
+import { neverCancelled } from "../core/cancellation.ts";
+import { silentLogger } from "../core/logger.ts";
+import { createSupervisor } from "../core/tasks.ts";
+import type { Channel } from "../network/channel.ts";
+import { createFakeNetwork } from "../network/fake_network.ts";
+import type { Attempt, Frame, Load } from "../network/frames.ts";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import type { ExchangeEnd } from "./conversation.ts";
+import { createExchanger } from "./exchange.ts";
+import { createPeerPool } from "./peer_pool.ts";
+
+const SILENCE_MS = 400;
+const GUARD = "guard:1";
+const DEADLINE_MS = 5_000;
+const LOAD: Load = {
+  inFlight: 0,
+  allowed: 1,
+  queued: 0,
+  version: 1,
+  slowness: 1,
+  incarnation: "one",
+};
+const ATTEMPT: Attempt = {
+  kind: "attempt",
+  attempt: { source: "ingress", order: 1 },
+  incarnation: "one",
+  version: 1,
+  from: "ingress:1",
+  requestId: "r1",
+  service: "work",
+  caller: "",
+  class: "look",
+  tenant: "default",
+  rank: 0,
+  repeatable: true,
+  timeLeftMs: DEADLINE_MS,
+  method: "GET",
+  path: "/look/1",
+  headers: [],
+  fingerprint: "f",
+  suspect: false,
+  elsewhere: false,
+  body: new Uint8Array(),
+  streaming: false,
+};
+
+/** An exchanger at one host, and a guard at another, in the test's hands. */
+async function startPair(answer: (channel: Channel, frame: Frame) => void) {
+  const timer = createFakeTimer();
+  const network = createFakeNetwork(timer, 1);
+  const findings: string[] = [];
+  await network.from("guard").listen(GUARD, async (channel) => {
+    while (!channel.closed) {
+      const frame = await channel.receive();
+      if (frame) {
+        answer(channel, frame);
+      }
+    }
+  });
+  const exchanger = createExchanger({
+    pool: createPeerPool({
+      network: network.from("ingress"),
+      timer,
+      supervisor: createSupervisor({
+        timer,
+        report: (task, error) =>
+          silentLogger.error("task", { task, error: String(error) }),
+      }),
+      timeouts: () => ({
+        connectMs: 250,
+        silenceMs: SILENCE_MS,
+        idlePingMs: 60_000,
+      }),
+    }),
+    timer,
+    silenceMs: () => SILENCE_MS,
+    onSilence: ({ finding }) => findings.push(finding),
+  });
+  let end: ExchangeEnd | undefined;
+  void exchanger.run({
+    address: GUARD,
+    attempt: ATTEMPT,
+    signal: neverCancelled,
+    deadlineAt: DEADLINE_MS,
+  }).then((ended) => {
+    end = ended;
+  });
+  return { timer, network, findings, end: () => end };
+}
+
+function answerOf(body: string, streaming = false): Frame {
+  return {
+    kind: "answer",
+    attempt: ATTEMPT.attempt,
+    status: 200,
+    headers: [],
+    body: new TextEncoder().encode(body),
+    streaming,
+    load: LOAD,
+  };
+}
+
+test("an attempt behind a dead connection is taken up over a new one", async (t) => {
+  const asked: string[] = [];
+  const pair = await startPair((channel, frame) => {
+    asked.push(frame.kind);
+    if (frame.kind === "fence") {
+      void channel.send({ kind: "fence_state", state: "running" });
+    }
+    if (frame.kind === "resume") {
+      void channel.send(answerOf("done"));
+    }
+  });
+  await pair.timer.advance(10);
+  pair.network.silence("ingress", "guard");
+  await pair.timer.advance(SILENCE_MS + 50);
+  t.equal(pair.end()?.kind, "answer");
+  t.same(asked, ["attempt", "fence", "resume"]);
+  t.same(pair.findings, ["resumed"]);
+});
+
+test("a silent guard that never got the attempt fences it", async (t) => {
+  const pair = await startPair((channel, frame) => {
+    if (frame.kind === "fence") {
+      void channel.send({ kind: "fence_state", state: "fenced" });
+    }
+  });
+  await pair.timer.advance(SILENCE_MS + 50);
+  t.same(pair.end(), { kind: "fenced" });
+  t.same(pair.findings, ["fenced"]);
+});
+
+test("a silent guard that cannot be reached is lost", async (t) => {
+  const pair = await startPair(() => {});
+  await pair.timer.advance(10);
+  pair.network.link("ingress", "guard").cut = true;
+  await pair.timer.advance(SILENCE_MS + 300);
+  t.match(pair.end(), { kind: "lost", sent: true });
+  t.same(pair.findings, ["lost"]);
+});
+
+test("a silent guard that started anew is lost", async (t) => {
+  const pair = await startPair((channel, frame) => {
+    if (frame.kind === "fence") {
+      void channel.send({ kind: "fence_state", state: "other_incarnation" });
+    }
+  });
+  await pair.timer.advance(SILENCE_MS + 50);
+  t.match(pair.end(), { kind: "lost", sent: true });
+});
+
+test("a stream is not cut by a guard that is held up", async (t) => {
+  let streaming: Channel | undefined;
+  const pair = await startPair((channel, frame) => {
+    if (frame.kind === "attempt") {
+      streaming = channel;
+      void channel.send(answerOf("first ", true));
+    }
+  });
+  await pair.timer.advance(10);
+  const end = pair.end();
+  if (end?.kind !== "answer" || end.body instanceof Uint8Array) {
+    t.fail("the answer is a stream");
+    return;
+  }
+  let text = "";
+  const { body } = end;
+  const read = (async () => {
+    for await (const part of body) {
+      text += new TextDecoder().decode(part);
+    }
+  })();
+  const goOn = pair.network.holdUp("guard");
+  await pair.timer.advance(2 * SILENCE_MS);
+  goOn();
+  await streaming!.send({
+    kind: "data",
+    bytes: new TextEncoder().encode("last"),
+  });
+  await streaming!.send({ kind: "end" });
+  await pair.timer.advance(50);
+  await read;
+  t.equal(text, "first last");
+});
+
+test("a stream over a dead connection is cut", async (t) => {
+  const pair = await startPair((channel, frame) => {
+    if (frame.kind === "attempt") {
+      void channel.send(answerOf("first ", true));
+    }
+  });
+  await pair.timer.advance(10);
+  const end = pair.end();
+  if (end?.kind !== "answer" || end.body instanceof Uint8Array) {
+    t.fail("the answer is a stream");
+    return;
+  }
+  const { body } = end;
+  let cut = false;
+  void (async () => {
+    for await (const _ of body) {
+      // Only its end matters.
+    }
+  })().catch(() => {
+    cut = true;
+  });
+  pair.network.silence("ingress", "guard");
+  await pair.timer.advance(4 * SILENCE_MS);
+  t.ok(cut);
+});
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -40,6 +40,8 @@
   count(name: string, amount?: number): void;
   /** Adds one to a counter that is kept apart by a label. */
   countBy(name: string, label: Label): void;
+  /** Shows the parts of a counter before anything was counted. */
+  showCounter(name: string, parts: { label: string; values: string[] }): void;
   /** Records how long something took that is not a whole request. */
   timing(name: string, className: string, ms: number): void;
   /** Sets a gauge that is read when metrics are shown. */
@@ -108,6 +110,13 @@
     .replaceAll("\n", "\\n");
 }
 
+/** Returns the name under which one part of a counter is shown. */
+function counterKey(name: string, label: Label): string {
+  return `mustardcross_${name}_total{${label.name}="${
+    escapeLabel(label.value)
+  }"}`;
+}
+
 /** Creates empty metrics. */
 export function createMetrics(): Metrics {
   const series = new Map<string, Series>();
@@ -190,13 +199,16 @@
       counters.set(name, (counters.get(name) ?? 0) + amount);
     },
     countBy(name, label) {
-      const key = `mustardcross_${name}_total{${label.name}="${
-        escapeLabel(label.value)
-      }"}`;
+      const key = counterKey(name, label);
       if (labelled.has(key) || labelled.size < MAX_SERIES) {
         labelled.set(key, (labelled.get(key) ?? 0) + 1);
       }
     },
+    showCounter(name, { label, values }) {
+      for (const value of values) {
+        labelled.set(counterKey(name, { name: label, value }), 0);
+      }
+    },
     timing(name, className, ms) {
       const key = `${name}\n${className}`;
       const known = timings.get(key);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -7,6 +7,7 @@
 import type { Member } from "../control/commands.ts";
 import { claimMethod, settleMethod } from "../control/node_methods.ts";
 import { hashReady } from "../core/hash.ts";
+import { createLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { Supervisor } from "../core/tasks.ts";
@@ -15,6 +16,7 @@
 import type { Announcement, AnnouncementResult } from "../guard/server_link.ts";
 import { createRateBudget } from "../ingress/budget.ts";
 import { createExchanger } from "../ingress/exchange.ts";
+import { SILENCE_FINDINGS, type SilenceFinding } from "../ingress/inquiry.ts";
 import {
   type ClaimService,
   createIngress,
@@ -102,8 +104,12 @@
 /** Time without announcements after which the backend server is gone. */
 const ANNOUNCEMENT_LEASE_MS = 10_000;
 /** Longest wait for control when the process stops, in milliseconds. */
-const FAREWELL_MS = 400;
+const DEREGISTER_MS = 200;
+/** Longest wait for the node's own tasks then, in milliseconds. */
+const TASKS_END_MS = 100;
 const FREEZE_MS = 2_000;
+/** Lines a second about silent guards. */
+const SILENCE_LINES_PER_S = 5;
 const WATCH_MS = 100;
 
 /** Creates the `node` role. */
@@ -170,6 +176,12 @@
     silenceMs: () =>
       directory.global?.limits.timeouts.silence_ms ??
         DEFAULT_TIMEOUTS.silence_ms,
+    onSilence: noteSilence,
+  });
+  const silenceLog = createLimitedLog({
+    timer,
+    logger,
+    perSecond: SILENCE_LINES_PER_S,
   });
   const claims: ClaimService = {
     async claim(claim, deadlineAt) {
@@ -225,6 +237,10 @@
     timer,
     () => directory.global?.limits.measuring.probes_per_server_per_s ?? 0,
   );
+  metrics.showCounter("guard_silences", {
+    label: "finding",
+    values: [...SILENCE_FINDINGS],
+  });
   metrics.gauge("view_version", () => directory.version);
   metrics.gauge("view_age_seconds", () => (timer.now() - sync.heardAt) / 1_000);
   metrics.gauge("requests_in_flight", () => ingress.inFlight);
@@ -238,6 +254,19 @@
   let leaving = false;
   let stopping = false;
 
+  /** Tells a guard that is lost from one, or a node, that is held up. */
+  function noteSilence(silence: SilenceFinding): void {
+    const { finding, peer, requestId, silentMs, lateMs } = silence;
+    metrics.countBy("guard_silences", { name: "finding", value: finding });
+    silenceLog.info("exchange.silent", {
+      request: requestId,
+      peer,
+      finding,
+      silent_ms: Math.round(silentMs),
+      late_ms: Math.round(lateMs),
+    });
+  }
+
   function serve(channel: Channel): void {
     open.add(channel);
     channel.onClose(() => open.delete(channel));
@@ -457,12 +486,12 @@
     async stop() {
       // Without control its lease runs out instead.
       await Promise.race([
-        registration.leave(FAREWELL_MS).then(sync.now),
-        sleep(timer, FAREWELL_MS),
+        registration.leave(DEREGISTER_MS).then(sync.now),
+        sleep(timer, DEREGISTER_MS),
       ]);
       await listener?.close();
       // A call under way to control may last longer than the process has.
-      await Promise.race([supervisor.stop(), sleep(timer, FAREWELL_MS)]);
+      await Promise.race([supervisor.stop(), sleep(timer, TASKS_END_MS)]);
       pool.close();
       for (const channel of [...open]) {
         channel.close();
