Do not let connections without a request hold up a planned stop

Cause: the runtime's closeIdleConnections does not count a connection as idle that has not brought a request yet, so the drain waited for its header timeout.

Change: such connections are tracked and closed 500 ms after listening has ended, after one more poll, so that a request that has already come is still answered. node.drain_cut tells what was left: requests, runs, connections.

--- a/src/http/caller_front.ts
+++ b/src/http/caller_front.ts
@@ -14,7 +14,13 @@
 import { sleep, type Timer } from "../time/timer.ts";
 import { readBody } from "./body.ts";
 import { type CallerDialect, PlainCallerDialect } from "./dialect.ts";
-import { closeHttp, createHttpServer, listenHttp, sendText } from "./server.ts";
+import {
+  closeHttp,
+  createHttpServer,
+  listenHttp,
+  openConnections,
+  sendText,
+} from "./server.ts";
 
 /** Path at which a node says whether it takes calls. */
 export const HEALTH_PATH = "/_mustardcross/health";
@@ -30,6 +36,8 @@
    * flight end, and closes.
    */
   stop(lingerMs: number): Promise<void>;
+  /** Connections of callers that are open. */
+  readonly connections: number;
 }
 
 /** Options of {@link createCallerFront}. */
@@ -203,5 +211,8 @@
       await sleep(timer, lingerMs);
       await closeHttp(server);
     },
+    get connections() {
+      return openConnections(server);
+    },
   };
 }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -8,7 +8,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as NetServer } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { StepError } from "../core/errors.ts";
 import { splitAddress } from "../network/channel.ts";
 
@@ -26,7 +26,7 @@
 
 /** Creates an HTTP server that does not listen yet. */
 export function createHttpServer(handler: HttpHandler): Server {
-  return createServer({
+  const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
@@ -35,6 +35,8 @@
     insecureHTTPParser: false,
     noDelay: true,
   }, handler);
+  trackConnections(server);
+  return server;
 }
 
 /** Listens at `ip:port` and returns the bound address. */
@@ -60,9 +62,49 @@
 /** Time for which a new connection may still bring its first request. */
 const FIRST_REQUEST_MS = 500;
 
+/** Connections of one server. */
+interface Connections {
+  open: number;
+  /** Those that have not brought a request yet. */
+  withoutRequest: Set<Socket>;
+}
+
+const connectionsOf = new WeakMap<Server, Connections>();
+
+/** Keeps track of a server's connections. */
+function trackConnections(server: Server): void {
+  const connections: Connections = { open: 0, withoutRequest: new Set() };
+  const { withoutRequest } = connections;
+  connectionsOf.set(server, connections);
+  server.on("connection", (socket) => {
+    connections.open++;
+    withoutRequest.add(socket);
+    socket.once("close", () => {
+      connections.open--;
+      withoutRequest.delete(socket);
+    });
+  });
+  server.on("request", ({ socket }) => withoutRequest.delete(socket));
+}
+
+/** Returns how many connections of a server are open. */
+export function openConnections(server: Server): number {
+  return connectionsOf.get(server)?.open ?? 0;
+}
+
+/** Ends the connections on which no request is under way. */
+function closeUnused(server: Server): void {
+  server.closeIdleConnections();
+  // The HTTP server does not count these as idle.
+  for (const socket of connectionsOf.get(server)?.withoutRequest ?? []) {
+    socket.destroy();
+  }
+}
+
 /**
- * Stops listening, and resolves once every connection has ended. A connection
- * that was accepted last may still bring a request, which is answered.
+ * Stops listening, and resolves once every connection has ended. Requests
+ * under way are answered, and so is one that an accepted connection brings
+ * soon; whoever sends one later finds the connection closed.
  */
 export function closeHttp(server: Server): Promise<void> {
   return new Promise((resolve) => {
@@ -70,7 +112,10 @@
     setImmediate(() => {
       // The HTTP server's own close would cut connections that seem idle.
       NetServer.prototype.close.call(server, () => resolve());
-      setTimeout(() => server.closeIdleConnections(), FIRST_REQUEST_MS);
+      setTimeout(() => {
+        // What has come meanwhile is read before anything is closed.
+        setImmediate(closeUnused, server);
+      }, FIRST_REQUEST_MS);
     });
   });
 }
--- a/src/process.ts
+++ b/src/process.ts
@@ -194,7 +194,12 @@
       timeoutMs: limits?.drain_ms ?? DEFAULT_DRAIN_MS,
     });
   } catch (error) {
-    parts.logger.error("node.drain_cut", errorFields(error));
+    parts.logger.error("node.drain_cut", {
+      requests: node.ingress.inFlight,
+      runs: node.guard.load().inFlight,
+      connections: front.connections,
+      ...errorFields(error),
+    });
   }
   await node.stop();
   attachments.forEach((attachment) => void attachment.stop());
