Read what has come before a late timer runs

Cause, the same class in a second place: the runtime runs due timers before it polls its sockets. After a hold-up each wait ends as if nothing had come: health checks (250 ms, after which a server with a reset counts as crashed and all that waits is refused), pings that retire every idle connection, queue waits, answers at their deadline.

Change: the timer service runs a task that is over 20 ms late only after one poll. The reader of an exchange loses its own handling of that.

--- a/src/ingress/frame_reader.ts
+++ b/src/ingress/frame_reader.ts
@@ -1,8 +1,5 @@
 /**
  * Reads the frames of one exchange and notices when the peer is silent.
- *
- * A process that was held up finds its timers due before it has read its
- * sockets. What already lies there is read before anyone is called silent.
  * @module
  */
 import { StepError, TimeoutError } from "../core/errors.ts";
@@ -38,11 +35,6 @@
   silenceMs: () => number;
 }
 
-/** Lateness of a timer from which this process counts as held up, in ms. */
-const HELD_UP_MS = 20;
-/** Wait in which the sockets are read once, in milliseconds. */
-const ONE_TURN_MS = 1;
-
 /** What a wait for a frame brought. */
 type Received = { frame: Frame | undefined } | "nothing";
 
@@ -91,18 +83,6 @@
     });
   }
 
-  /** Receives in time, or what lies unread when the time is up. */
-  async function receiveBy(
-    dueAt: number,
-  ): Promise<{ received: Received; lateMs: number }> {
-    const received = await receiveWithin(Math.max(0, dueAt - timer.now()));
-    const lateMs = Math.max(0, timer.now() - dueAt);
-    if (received !== "nothing" || lateMs < HELD_UP_MS) {
-      return { received, lateMs };
-    }
-    return { received: await receiveWithin(ONE_TURN_MS), lateMs };
-  }
-
   function frameOf({ frame }: { frame: Frame | undefined }): Frame {
     if (!frame) {
       throw new StepError("exchange.receive", "connection closed", {
@@ -116,10 +96,8 @@
     async next(deadlineAt) {
       const startedAt = timer.now();
       while (true) {
-        const silentAt = timer.now() + silenceMs();
-        const { received, lateMs } = await receiveBy(
-          Math.min(deadlineAt, silentAt),
-        );
+        const dueAt = Math.min(deadlineAt, timer.now() + silenceMs());
+        const received = await receiveWithin(Math.max(0, dueAt - timer.now()));
         if (received === "nothing" && timer.now() >= deadlineAt) {
           throw new TimeoutError(
             "exchange.receive",
@@ -128,8 +106,12 @@
           );
         }
         if (received === "nothing") {
-          const silentMs = timer.now() - heardAt;
-          return { kind: "silence", silentMs, lateMs };
+          const now = timer.now();
+          return {
+            kind: "silence",
+            silentMs: now - heardAt,
+            lateMs: Math.max(0, now - dueAt),
+          };
         }
         const frame = frameOf(received);
         if (frame.kind !== "pong") {
--- a/src/time/timer.ts
+++ b/src/time/timer.ts
@@ -10,7 +10,13 @@
   cancel(): void;
 }
 
-/** Clock and timers of a process; a fake one can stop time. */
+/**
+ * Clock and timers of a process; a fake one can stop time.
+ *
+ * A process that was held up finds its timers due together with all that has
+ * come meanwhile. It reads that first, so that nobody who waited takes what
+ * lies unread for missing.
+ */
 export interface Timer {
   /** Monotonic time in milliseconds. */
   now(): number;
@@ -22,18 +28,51 @@
   every(periodMs: number, task: () => void): Subscription;
 }
 
+/** Lateness of a timer from which the process counts as held up, in ms. */
+const HELD_UP_MS = 20;
+
+/** Runs a task that was due, after what has come is read if that was long ago. */
+function runDue(task: () => void, dueAt: number): NodeJS.Immediate | undefined {
+  if (performance.now() - dueAt < HELD_UP_MS) {
+    task();
+    return undefined;
+  }
+  // Immediates run once the sockets have been polled.
+  return setImmediate(task);
+}
+
 /** Creates the timer service of a real process. */
 export function createSystemTimer(): Timer {
   return {
     now: () => performance.now(),
     wallTime: () => Date.now(),
     after(delayMs, task) {
-      const handle = setTimeout(task, delayMs);
-      return { cancel: () => clearTimeout(handle) };
+      const dueAt = performance.now() + delayMs;
+      let late: NodeJS.Immediate | undefined;
+      const handle = setTimeout(() => {
+        late = runDue(task, dueAt);
+      }, delayMs);
+      return {
+        cancel() {
+          clearTimeout(handle);
+          clearImmediate(late);
+        },
+      };
     },
     every(periodMs, task) {
-      const handle = setInterval(task, periodMs);
-      return { cancel: () => clearInterval(handle) };
+      let dueAt = performance.now() + periodMs;
+      let late: NodeJS.Immediate | undefined;
+      const handle = setInterval(() => {
+        clearImmediate(late);
+        late = runDue(task, dueAt);
+        dueAt = performance.now() + periodMs;
+      }, periodMs);
+      return {
+        cancel() {
+          clearInterval(handle);
+          clearImmediate(late);
+        },
+      };
     },
   };
 }
