--- a/src/network/tcp.ts
+++ b/src/network/tcp.ts
@@ -134,7 +134,13 @@
         }),
       );
     }
-    socket.setTimeout(timeoutMs, () => fail(new Error("connect timed out")));
+    socket.setTimeout(timeoutMs, () =>
+      // If this process was held up, the connection may be there by now.
+      setImmediate(() => {
+        if (socket.connecting) {
+          fail(new Error("connect timed out"));
+        }
+      }));
     socket.once("error", fail);
     socket.once("connect", () => {
       socket.setTimeout(0);
