Do not let a run that nobody waits for hold up a planned stop

Cause: work that must not be repeated may run up to 10 s past its deadline, so that its answer is kept; a planned stop waited for it though its sender had given up.

Change: a run holds up the stop while its channel is open, or until 100 ms past its deadline, as its end may be taken up over another channel.

Evidence: tests/scenario/leaving_test.ts, red before.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -97,7 +97,7 @@
   finds(registered: Announcement): Promise<boolean>;
   /** Takes no announcement of an instance that started by a Unix time. */
   barInstance(instance: string, startedBy: number): void;
-  /** Stops admitting; resolves once nothing is in flight. */
+  /** Stops admitting; resolves once nobody waits for what is in flight. */
   drain(): Promise<void>;
   /** Another incarnation took this VM's place for good. */
   supersede(): void;
@@ -117,6 +117,8 @@
 
 const LEDGER_CAPACITY = 50_000;
 const DRAIN_CHECK_MS = 10;
+/** Time past its deadline for which the end of a run is still waited for. */
+const ANSWER_GRACE_MS = 100;
 const RETRY_AFTER_MS = 250;
 const DEFAULT_KEEPALIVE_MS = 100;
 
@@ -197,6 +199,8 @@
       admission.pump();
     },
   });
+  /** Runs in flight, with the channels on which their ends are awaited. */
+  const runs = new Set<{ channel: Channel; deadlineAt: number }>();
   let leaving = false;
   let draining = false;
   let superseded = false;
@@ -505,6 +509,8 @@
       ended(await refuseStarted(channel, { frame, refused: { reason } }));
       return;
     }
+    const running = { channel, deadlineAt: askedAt + frame.timeLeftMs };
+    runs.add(running);
     const runWatch = watch.begin({
       class: frame.class,
       busy: admission.inFlight,
@@ -537,6 +543,7 @@
     });
     const ending = run.ended.then((end) => {
       runWatch.ended(end);
+      runs.delete(running);
       notes.ended(frame, end, waitedMs);
       verdict.place.release();
       if (end.kind === "refused") {
@@ -592,6 +599,14 @@
     }
   }
 
+  /** Whether somebody still waits for the end of a run. */
+  function isAwaited(): boolean {
+    const now = timer.now();
+    return [...runs].some(({ channel, deadlineAt }) =>
+      !channel.closed || now < deadlineAt + ANSWER_GRACE_MS
+    );
+  }
+
   return {
     incarnation,
     get announced() {
@@ -658,7 +673,9 @@
         domain,
         cause: "the node stops",
       });
-      await waitUntilIdle();
+      while (isAwaited()) {
+        await sleep(timer, DRAIN_CHECK_MS);
+      }
     },
     supersede() {
       superseded = true;
--- a/tests/scenario/leaving_test.ts
+++ b/tests/scenario/leaving_test.ts
@@ -40,3 +40,23 @@
   await world.timer.advance(780);
   t.ok(stopped, "its lease runs out instead");
 });
+
+test("a run whose deadline has passed does not hold up a planned stop", async (t) => {
+  const world = await startSmallWorld({ seed: 12, servers: 2 });
+  world.vm("vm1").server.crash();
+  world.vm("vm2").server.hangs = true;
+  await world.timer.advance(1_000);
+  const call = world.call({ via: "vm1", path: "/pay/1", method: "POST" });
+  await world.timer.advance(50);
+  t.equal(world.vm("vm2").node.guard.load().inFlight, 1, "it runs");
+  let drained = false;
+  void world.vm("vm2").node.drain().then(() => {
+    drained = true;
+  });
+  await world.timer.advance(1_900);
+  t.notOk(drained, "its caller still waits");
+  // The deadline is 2 s after the call, plus the time for its answer.
+  await world.timer.advance(300);
+  t.ok(drained);
+  t.equal(call.reply?.status, 504);
+});
