Reserve the port of metrics in the platform's lab

The lab told the platform that its range of ports is [rpc, rpc], but the adapter binds the port after the first one too (metrics): rpc + 1 was never reserved, and now it is the port that the lab gives to its peers. Before, it was any port, of anybody: another way to the EADDRINUSE that was seen.

--- a/src/demo/ports.ts
+++ b/src/demo/ports.ts
@@ -74,3 +74,15 @@
 
 /** Finds free ports; each is given out once in the life of this process. */
 export const freePorts = createPortSource(process.pid);
+
+/** Finds a range of free ports; returns the first and the last. */
+export async function freeRange(count: number): Promise<[number, number]> {
+  let [first] = await freePorts(1);
+  let last = first;
+  while (last - first + 1 < count) {
+    const [port] = await freePorts(1);
+    if (port !== last + 1) first = port;
+    last = port;
+  }
+  return [first, last];
+}
--- a/src/demo/ports_test.ts
+++ b/src/demo/ports_test.ts
@@ -1,6 +1,11 @@
 import { createServer } from "node:net";
 import { test } from "tap";
-import { createPortSource, FIRST_OF_CONNECTIONS, freePorts } from "./ports.ts";
+import {
+  createPortSource,
+  FIRST_OF_CONNECTIONS,
+  freePorts,
+  freeRange,
+} from "./ports.ts";
 
 const HOST = "127.0.0.1";
 
@@ -27,3 +32,12 @@
   );
   t.notOk((await source(5)).includes(before + 1));
 });
+
+test("the ports of a range follow each other", async (t) => {
+  const ranges = [await freeRange(2), await freeRange(5), await freeRange(30)];
+  t.same(ranges.map(([first, last]) => last - first + 1), [2, 5, 30]);
+  const all = ranges.flatMap(([first, last]) =>
+    Array.from({ length: last - first + 1 }, (_, index) => first + index)
+  );
+  t.equal(new Set(all).size, 37);
+});
--- a/tests/platform/lab.ts
+++ b/tests/platform/lab.ts
@@ -19,7 +19,7 @@
   type PlatformSettings,
 } from "../../platform/settings.ts";
 import { type Logger, silentLogger } from "../../src/core/logger.ts";
-import { freePorts } from "../../src/demo/ports.ts";
+import { freePorts, freeRange } from "../../src/demo/ports.ts";
 import { type MustardcrossProcess, startProcess } from "../../src/process.ts";
 import { eventually } from "../processes.ts";
 
@@ -155,8 +155,9 @@
   logger: Logger = silentLogger,
 ): Promise<Lab> {
   const folder = mkdtempSync(join(tmpdir(), "mustardcross-platform-"));
-  const [rpc, peer, local, operator, beats, ready, callers, server] =
-    await freePorts(8);
+  const [rpc, controlMetrics] = await freeRange(2);
+  const [peer, local] = await freeRange(2);
+  const [operator, beats, ready, callers, server] = await freePorts(5);
   const seen: Seen[] = [];
   let behaviour = sound;
   const backend = await startServer(server, {
@@ -164,7 +165,7 @@
     behaviour: () => behaviour,
   });
   const control = settingsOf(settingsText({
-    ports: [rpc, rpc],
+    ports: [rpc, controlMetrics],
     listen: `control = "${HOST}:${operator}"`,
     data: folder,
   }));
