Close a backend server's connection that brings bytes of no answer without end

A raw server sent a status line, blank lines, interim heads (103), the extension or the length of a chunk without end. The client read on for as long as the attempt was not cancelled: the test cancelled it after 1.5 s, and by then had taken 434 MB (status line), 496 MB (blank lines), 27 MB (interim heads), 486 MB (extension), 226 MB (length). An attempt that must not be repeated would go on for 10 s past its deadline. Blank lines after a whole answer were read on an idle connection until the keep-alive time that the server itself had named (231 MB in the first second), and no one was told. Header fields and trailers without end were ended by the library at 16 KiB, but were reported as a reset, so as a sign of a crash.

Cause: the library bounds header fields only, and nothing else counted bytes.

A meter of each connection now counts what comes between the parts of an answer (request sent, final head, body data, end) and destroys the connection over 32 KiB, twice the bound of header fields. Both excesses are "defective": the outcome stays unknown, and nothing is accused of a crash. What a held-back reader has not parsed is not counted; answers in one-byte chunks and late readers are tested to be whole.

Ruled out: the deadline as the only bound, since the event loop of the node reads at the speed of the loopback until then.

--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -5,7 +5,7 @@
 import { EventEmitter } from "node:events";
 import { Readable } from "node:stream";
 import type { Socket } from "node:net";
-import { buildConnector, errors, Pool } from "undici";
+import { buildConnector, Client, type Dispatcher, errors, Pool } from "undici";
 import { errorMessage } from "../core/errors.ts";
 import type { HeaderList } from "../core/headers.ts";
 import { type BackendDialect, PlainBackendDialect } from "../http/dialect.ts";
@@ -15,7 +15,15 @@
   type BackendFactory,
   type BackendFailure,
 } from "./backend.ts";
+import { type ByteMeter, createByteMeter } from "./byte_meter.ts";
 
+/** Longest header fields of an answer, in bytes. */
+const MAX_HEADER_BYTES = 16 * 1024;
+/**
+ * Bytes that may come before, between and after the parts of an answer: its
+ * header fields, their punctuation, and heads of interim answers.
+ */
+const MAX_STRAY_BYTES = 2 * MAX_HEADER_BYTES;
 const BODY_TIMEOUT_MS = 30_000;
 /** Idle time of a connection whose server names none, in milliseconds. */
 const KEEP_ALIVE_MS = 400;
@@ -47,6 +55,9 @@
   ) {
     return "timeout";
   }
+  if (error instanceof errors.HeadersOverflowError) {
+    return "defective";
+  }
   return "reset";
 }
 
@@ -90,7 +101,10 @@
 }
 
 /** Connects as the library does, but tells a reset from an end. */
-function connectorOf(timeoutMs: number): buildConnector.connector {
+function connectorOf(
+  timeoutMs: number,
+  meter: ByteMeter,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) =>
     connect(options, (error, socket) => {
@@ -100,10 +114,44 @@
       }
       (socket as Socket).prependListener("error", nameReset);
       checkEnds(socket as Socket);
+      meter.open(socket as Socket);
       callback(null, socket);
     });
 }
 
+/** A client of one connection at a time, which may not bring stray bytes. */
+class MeteredClient extends Client {
+  readonly #meter: ByteMeter;
+
+  constructor(
+    origin: URL,
+    options: { address: string; connectTimeoutMs: number; library: object },
+  ) {
+    const { address, connectTimeoutMs, library } = options;
+    const meter = createByteMeter(
+      MAX_STRAY_BYTES,
+      () =>
+        new BackendError("defective", {
+          peer: address,
+          message:
+            `over ${MAX_STRAY_BYTES} bytes that are no part of an answer`,
+        }),
+    );
+    super(origin, {
+      ...library,
+      connect: connectorOf(connectTimeoutMs, meter),
+    });
+    this.#meter = meter;
+  }
+
+  override dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandlers,
+  ): boolean {
+    return super.dispatch(options, this.#meter.watch(handler));
+  }
+}
+
 /** Whether an answer is short enough to be read at once. */
 function isShort(
   headers: Record<string, string | string[] | undefined>,
@@ -118,7 +166,9 @@
     const pool = new Pool(`http://${address}`, {
       connections,
       pipelining: 1,
-      connect: connectorOf(connectTimeoutMs),
+      factory: (origin, library) =>
+        new MeteredClient(origin, { address, connectTimeoutMs, library }),
+      maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       // Whoever sends a request cancels it; the library's timers are coarse.
