Wake every sender that waits on a channel, not only the last

What callers saw: a long answer that its caller read slowly could stop for good, and its place at the guard was not given back, not even after the caller had left.

Cause: a channel kept one waiting sender. While a part of a body waited for room, a sign of life (every 100 ms) waited beside it and took its place; on "drain", and on close, only the sign of life went on.

Now all that wait are woken, and those of a closed channel are rejected.

--- a/src/network/tcp.ts
+++ b/src/network/tcp.ts
@@ -41,13 +41,20 @@
   const closing = createCanceller();
   let closed = false;
   let pending: Buffer = Buffer.alloc(0);
-  let drained: (() => void) | undefined;
+  let waiting: (() => void)[] = [];
   const inbox = createInbox(() => {
     if (inbox.size < MAX_UNREAD_FRAMES) {
       socket.resume();
     }
   });
 
+  /** Several may wait: parts of a body, and signs of life beside them. */
+  function wakeSenders(): void {
+    const woken = waiting;
+    waiting = [];
+    woken.forEach((wake) => wake());
+  }
+
   function close(): void {
     if (closed) {
       return;
@@ -55,7 +62,7 @@
     closed = true;
     socket.destroy();
     inbox.end();
-    drained?.();
+    wakeSenders();
     closing.cancel();
   }
 
@@ -91,7 +98,7 @@
       socket.pause();
     }
   });
-  socket.on("drain", () => drained?.());
+  socket.on("drain", wakeSenders);
   socket.on("end", close);
   socket.on("error", close);
   socket.on("close", close);
@@ -106,10 +113,7 @@
         throw new StepError("channel.send", "channel is closed", { peer });
       }
       if (!socket.write(encodeFrame(frame))) {
-        await new Promise<void>((resolve) => {
-          drained = resolve;
-        });
-        drained = undefined;
+        await new Promise<void>((resolve) => waiting.push(resolve));
         if (closed) {
           throw new StepError("channel.send", "channel closed", { peer });
         }
