End a health check whose answer is longer than a bound

What callers saw: nothing yet; found by a test of our own. A health check, also that of a first contact, read a body without end at the speed of the loopback until its 250 ms were over, at each check anew.

Evidence: tests/guard/endless_health_test.ts, "whose body has no end fails by its bytes", red before at both places (it never ended while no time passed). A body that comes now and then was ended by the time already; that is tested beside it.

A new module reads bodies of answers within a bound of bytes (64 KiB here) and closes the connection of a longer one.

--- a/src/guard/backend.ts
+++ b/src/guard/backend.ts
@@ -50,12 +50,18 @@
   report?: ServerReport;
 }
 
+/** A body that still comes; it throws `BackendError` when it is cut. */
+export interface ComingBody extends AsyncIterable<Uint8Array> {
+  /** Reads it at once, in place of its parts; there if it is short. */
+  whole?(): Promise<Uint8Array>;
+}
+
 /** The answer of the backend server. */
 export interface BackendAnswer {
   status: number;
   headers: HeaderList;
-  /** A whole body, or a stream that throws `BackendError` when it is cut. */
-  body: Uint8Array | AsyncIterable<Uint8Array>;
+  /** The body; one that still comes must be read, or its request cancelled. */
+  body: Uint8Array | ComingBody;
   verdict?: BackendVerdict;
 }
 
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -7,6 +7,7 @@
 import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Timer } from "../time/timer.ts";
+import { readAway } from "./answer_body.ts";
 import type {
   Backend,
   BackendAnswer,
@@ -14,7 +15,6 @@
   BackendVerdict,
   ServerReport,
 } from "./backend.ts";
-import { readAll } from "./run.ts";
 
 /** A backend server as it announced itself. */
 export interface Announcement {
@@ -85,6 +85,8 @@
 /** Status of a backend server that is well and does not leave. */
 const HEALTHY = 200;
 const PROBE_TIMEOUT_MS = 250;
+/** Longest body of a health check's answer, in bytes. */
+const MAX_HEALTH_BYTES = 64 * 1024;
 /** Connections until the service's settings are known. */
 const INITIAL_CONNECTIONS = 256;
 
@@ -163,7 +165,7 @@
         timeLeftMs: PROBE_TIMEOUT_MS,
         signal: canceller,
       });
-      await readAll(answer.body);
+      await readAway(answer, { limit: MAX_HEALTH_BYTES, peer: at.address });
       return answer;
     } finally {
       timeout.cancel();
