Take a refusal from its head, and close it if its body has no end

What callers saw: nothing yet; found by a test of our own. A backend server that refuses (a proof in the head that it did not run the request, or its own 503 where the settings say so) may send a body without end behind it: - more than 64 KiB: the caller was refused, but the rest of the stream was neither read nor closed. The server's connection was held for good, with the listener on the attempt's cancellation: no timer of the library runs while it is held back. With one connection allowed, the next request was never served. - a byte now and then: the refusal waited for the body until the deadline (10 s past it for what must not be repeated), and was then reported as "unknown", so that the request was not tried elsewhere although nothing had run.

Evidence: tests/guard/endless_bodies_test.ts, "a refusal whose body ...", four cases, all red before. The others in the file were green before: a success without end goes on until its caller leaves, a defective one is closed at its head, a body whose last bytes never come is unknown, a body after the caller has left is closed.

The proof is in the head. Now the rest is read away for 64 KiB and 50 ms at most, so that an ordinary refusal keeps its connection, and then the connection is closed; the refusal is told either way. A short answer is read at once by its reader instead of before its head is judged. The place is given back after that, as before, so that the next request finds the connection.

--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -14,6 +14,7 @@
   BackendError,
   type BackendFactory,
   type BackendFailure,
+  type ComingBody,
 } from "./backend.ts";
 import { type ByteMeter, createByteMeter } from "./byte_meter.ts";
 
@@ -187,17 +188,32 @@
       });
     }
 
-    async function* guarded(
-      body: AsyncIterable<Uint8Array>,
+    function comingBody(
+      answer: Dispatcher.ResponseData,
       release: () => void,
-    ): AsyncIterable<Uint8Array> {
-      try {
-        yield* body;
-      } catch (error) {
-        throw wrap(error);
-      } finally {
-        release();
+    ): ComingBody {
+      async function* parts(): AsyncGenerator<Uint8Array> {
+        try {
+          yield* answer.body;
+        } catch (error) {
+          throw wrap(error);
+        } finally {
+          release();
+        }
       }
+      async function whole(): Promise<Uint8Array> {
+        try {
+          return new Uint8Array(await answer.body.arrayBuffer());
+        } catch (error) {
+          throw wrap(error);
+        } finally {
+          release();
+        }
+      }
+      return {
+        [Symbol.asyncIterator]: parts,
+        whole: isShort(answer.headers) ? whole : undefined,
+      };
     }
 
     return {
@@ -229,17 +245,7 @@
               message: verdict.defect,
             });
           }
-          const whole = isShort(answer.headers)
-            ? new Uint8Array(await answer.body.arrayBuffer())
-            : undefined;
-          if (whole) {
-            release();
-          }
-          return {
-            ...head,
-            verdict,
-            body: whole ?? guarded(answer.body, release),
-          };
+          return { ...head, verdict, body: comingBody(answer, release) };
         } catch (error) {
           release();
           throw wrap(error);
--- a/src/guard/run.ts
+++ b/src/guard/run.ts
@@ -14,6 +14,7 @@
   Refused,
 } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
+import { readAway, readStart } from "./answer_body.ts";
 import {
   type Backend,
   type BackendAnswer,
@@ -31,6 +32,8 @@
  * server can end it itself, with an answer.
  */
 const REPEATABLE_GRACE_MS = 25;
+/** Longest wait for the rest of a refusal, whose caller waits meanwhile. */
+const REFUSAL_BODY_MS = 50;
 const SHED_STATUS = 503;
 const FIRST_SERVER_ERROR = 500;
 
@@ -82,26 +85,6 @@
   }
 }
 
-/** Returns the parts of a body, whole or streamed. */
-async function* chunksOf(
-  body: Uint8Array | AsyncIterable<Uint8Array>,
-): AsyncGenerator<Uint8Array> {
-  if (body instanceof Uint8Array) {
-    yield body;
-  } else {
-    yield* body;
-  }
-}
-
-/** Reads a body to its end, so that its connection can be used again. */
-export async function readAll(
-  body: Uint8Array | AsyncIterable<Uint8Array>,
-): Promise<void> {
-  for await (const _ of chunksOf(body)) {
-    // Nothing is done with it.
-  }
-}
-
 /** A channel that was lost says nothing about the backend server. */
 function asBackendError(error: unknown, peer: string): BackendError {
   if (error instanceof BackendError) {
@@ -209,21 +192,19 @@
     });
   }
 
-  /** Reads up to a whole answer; a longer one goes on as a stream. */
-  async function readFirst(
-    chunks: AsyncIterator<Uint8Array>,
-  ): Promise<{ body: Uint8Array; streaming: boolean }> {
-    const parts: Uint8Array[] = [];
-    let size = 0;
-    while (size <= WHOLE_ANSWER_BYTES) {
-      const next = await chunks.next();
-      if (next.done) {
-        return { body: Buffer.concat(parts), streaming: false };
-      }
-      parts.push(next.value);
-      size += next.value.length;
+  /** Reads the rest of an answer whose head alone says that nothing ran. */
+  async function readRefusal(answer: BackendAnswer): Promise<void> {
+    const timeout = timer.after(REFUSAL_BODY_MS, stop.cancel);
+    try {
+      await readAway(answer, {
+        limit: WHOLE_ANSWER_BYTES,
+        peer: frame.service,
+      });
+    } catch {
+      // The refusal holds all the same; only its connection is lost.
+    } finally {
+      timeout.cancel();
     }
-    return { body: Buffer.concat(parts), streaming: true };
   }
 
   async function sendRest(chunks: AsyncIterator<Uint8Array>): Promise<void> {
@@ -246,16 +227,14 @@
     if (answer.verdict) {
       options.onVerdict(answer.verdict);
     }
-    const chunks = chunksOf(answer.body);
-    const first = answer.body instanceof Uint8Array
-      ? { body: answer.body, streaming: false }
-      : await readFirst(chunks);
     const refused = shed(answer);
     if (refused) {
+      await readRefusal(answer);
       return { end: refused, sent: channel.send(refused) };
     }
-    const end = head(answer, first);
-    if (!first.streaming) {
+    const { bytes, rest } = await readStart(answer.body, WHOLE_ANSWER_BYTES);
+    const end = head(answer, { body: bytes, streaming: rest !== undefined });
+    if (!rest) {
       complete(answer.status < FIRST_SERVER_ERROR);
       return { end, sent: channel.send(end) };
     }
@@ -266,7 +245,7 @@
     // A long body may take its time; only silence ends it.
     expiry.cancel();
     await channel.send(end);
-    await sendRest(chunks);
+    await sendRest(rest);
     complete(answer.status < FIRST_SERVER_ERROR);
     return { end, sent: Promise.resolve() };
   }
