Bound the body of a failure by the deadline, and any body by the longest timeout

What callers saw: nothing yet; found by a test of our own. Once over 64 KiB of an answer had come, the attempt's expiry was cancelled for good. A failure (5xx, or any other answer but a success) whose body has no end was sent on for as long as the other end stayed, far past the deadline; and if the other end stayed without taking it, the attempt waited to send for ever, and its place was never given back.

Evidence: tests/guard/endless_bodies_test.ts, red before: "a failure whose body has no end is cut at the deadline" and "a success without end is cut when no route allows more time".

Now a failure has until the deadline, with the grace of repeatable work, and then its channel is closed, so that it is seen as cut. A success may go on past the deadline as before (a long download may take its time), until its caller leaves, or at most for the longest timeout that any route or caller may name (ten minutes); the constant moves to the settings. An expired stream also closes the channel that does not take it.

--- a/src/guard/run.ts
+++ b/src/guard/run.ts
@@ -13,6 +13,7 @@
   Load,
   Refused,
 } from "../network/frames.ts";
+import { LONGEST_TIMEOUT_MS } from "../settings/site.ts";
 import type { Timer } from "../time/timer.ts";
 import { readAway, readStart } from "./answer_body.ts";
 import {
@@ -35,6 +36,8 @@
 /** Longest wait for the rest of a refusal, whose caller waits meanwhile. */
 const REFUSAL_BODY_MS = 50;
 const SHED_STATUS = 503;
+const FIRST_SUCCESS = 200;
+const FIRST_REDIRECT = 300;
 const FIRST_SERVER_ERROR = 500;
 
 /** How an attempt ended. */
@@ -113,15 +116,32 @@
   const longestMs = frame.timeLeftMs +
     (frame.repeatable ? REPEATABLE_GRACE_MS : UNREPEATABLE_GRACE_MS);
   let expired = false;
-  const expiry = timer.after(longestMs, () => {
-    expired = true;
-    stop.cancel();
-  });
+  let expiry = timer.after(longestMs, expire);
   let releaseGone = (): void => {};
   if (frame.repeatable) {
     releaseGone = gone.onCancel(stop.cancel);
   }
 
+  function expire(): void {
+    expired = true;
+    stop.cancel();
+    if (headSent) {
+      // The other end may not take what is being sent, and wait for ever.
+      channel.close();
+    }
+  }
+
+  /** Time for which the body of an answer may still come. */
+  function streamMs(status: number): number {
+    const success = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
+    return success ? LONGEST_TIMEOUT_MS : timeLeftMs() + REPEATABLE_GRACE_MS;
+  }
+
+  /** Time that is left until the deadline. */
+  function timeLeftMs(): number {
+    return Math.max(0, frame.timeLeftMs - (timer.now() - startedAt));
+  }
+
   function failed(error: BackendError): Failed {
     const outcome = error.failure === "connect" ? "not_run" : "unknown";
     return {
@@ -171,7 +191,7 @@
   }
 
   async function request(): Promise<BackendAnswer> {
-    const left = Math.max(0, frame.timeLeftMs - (timer.now() - startedAt));
+    const left = timeLeftMs();
     if (frame.streaming) {
       await channel.send({ kind: "admitted" });
     }
@@ -242,8 +262,9 @@
     releaseGone();
     releaseGone = gone.onCancel(stop.cancel);
     headSent = true;
-    // A long body may take its time; only silence ends it.
+    // A long success may take its time; a failure has until the deadline.
     expiry.cancel();
+    expiry = timer.after(streamMs(answer.status), expire);
     await channel.send(end);
     await sendRest(rest);
     complete(answer.status < FIRST_SERVER_ERROR);
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -15,7 +15,11 @@
 import type { Attempt, Outcome } from "../network/frames.ts";
 import type { Directory, FoundRoute } from "../node/directory.ts";
 import type { Timer } from "../time/timer.ts";
-import type { RoutePolicy, Service } from "../settings/site.ts";
+import {
+  LONGEST_TIMEOUT_MS,
+  type RoutePolicy,
+  type Service,
+} from "../settings/site.ts";
 import { type AnswerSizes, createAnswerSizes } from "./answer_sizes.ts";
 import { createServiceBudgets } from "./budget.ts";
 import { type Call, notRunReply, type Reply, unknownReply } from "./call.ts";
@@ -118,7 +122,6 @@
 const MAX_KEY_LENGTH = 200;
 const MAX_TENANT_LENGTH = 64;
 const DEFAULT_TENANT = "default";
-const LONGEST_TIMEOUT_MS = 600_000;
 const BAD_REQUEST = 400;
 
 /** Creates an ingress. */
--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -5,6 +5,9 @@
  */
 import { z } from "zod";
 
+/** Longest time for an answer, whatever a route or a caller names. */
+export const LONGEST_TIMEOUT_MS = 600_000;
+
 const ratio = z.number().min(0).max(1);
 const milliseconds = z.number().positive();
 const count = z.number().int().min(0);
--- a/tests/guard/endless_bodies_test.ts
+++ b/tests/guard/endless_bodies_test.ts
@@ -187,6 +187,38 @@
   t.match(await servesNext(lab), { kind: "answer", status: 200 });
 });
 
+test("a failure whose body has no end is cut at the deadline", async (t) => {
+  const lab = await startLab((connection) => {
+    connection.write("HTTP/1.1 500 No\r\n\r\n");
+    connection.flood(FLOOD);
+  });
+  t.teardown(lab.server.close);
+  const run = lab.run();
+  t.match(await nextFrame(run.near), { kind: "answer", streaming: true });
+  t.equal((await nextFrame(run.near))?.kind, "data");
+  await lab.timer.advance(2 * DEADLINE_MS);
+  let last: Frame | undefined;
+  do {
+    last = await nextFrame(run.near);
+  } while (last?.kind === "data");
+  t.equal(last, undefined, "the channel is closed, so it never looks whole");
+  t.match(await run.ended, { kind: "failed", outcome: "unknown" });
+  t.match(await servesNext(lab), { kind: "answer", status: 200 });
+});
+
+test("a success without end is cut when no route allows more time", async (t) => {
+  const lab = await startLab((connection) => {
+    connection.write("HTTP/1.1 200 OK\r\n\r\n");
+    connection.flood(FLOOD);
+  });
+  t.teardown(lab.server.close);
+  const run = lab.run();
+  t.match(await nextFrame(run.near), { kind: "answer", streaming: true });
+  await lab.timer.advance(600_000);
+  t.match(await run.ended, { kind: "failed", outcome: "unknown" });
+  t.match(await servesNext(lab), { kind: "answer", status: 200 });
+});
+
 test("a defective answer whose body has no end is closed at its head", async (t) => {
   const lab = await startLab((connection) => {
     connection.write("HTTP/1.1 200 OK\r\nx-wrong: 1\r\n\r\n");
