Close an answer that is given up before anybody read of it

What callers saw: nothing by itself. Each answer over 64 KiB that was given up for another one, that of a failed attempt or of one that lost against its hedge, kept its channel open and unread: the guard went on sending until no more was taken, and then held the backend server's connection and the place for good.

Cause: giving up called `return` on a generator that had not begun. Its `finally`, which closes the channel, does not run then.

An answer that goes on as a stream now says how to give it up; after its end, this leaves the channel to those who use it next.

--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -23,6 +23,8 @@
   answer: Answer;
   /** Throws `StepError` when the stream is cut. */
   body: Uint8Array | AsyncIterable<Uint8Array>;
+  /** Gives a stream up, also one that nobody has begun to read. */
+  close?: () => void;
 }
 
 /** The connection was lost before the end came. */
@@ -127,7 +129,7 @@
 
   async function* streamFrom(
     channel: Channel,
-    first: Uint8Array,
+    { first, onEnd }: { first: Uint8Array; onEnd: () => void },
   ): AsyncGenerator<Uint8Array> {
     let whole = false;
     try {
@@ -150,6 +152,7 @@
         yield frame.bytes;
       }
     } finally {
+      onEnd();
       if (whole) {
         pool.giveBack(channel);
       } else {
@@ -158,6 +161,27 @@
     }
   }
 
+  /** It may be given up before it is read. */
+  function streamOf(
+    channel: Channel,
+    first: Uint8Array,
+  ): Required<Pick<ReceivedAnswer, "body" | "close">> {
+    let ended = false;
+    function close(): void {
+      // After its end, the channel is others'.
+      if (!ended) {
+        channel.close();
+      }
+    }
+    const body = streamFrom(channel, {
+      first,
+      onEnd() {
+        ended = true;
+      },
+    });
+    return { body, close };
+  }
+
   async function sendStream(
     channel: Channel,
     stream: AsyncIterable<Uint8Array>,
@@ -177,15 +201,15 @@
     channel: Channel,
     exchange: Omit<Work, "request" | "signal">,
   ): Promise<ExchangeEnd> {
-    const { attempt, deadlineAt, stream } = exchange;
+    const { attempt, deadlineAt } = exchange;
     while (true) {
       const frame = await nextContent(channel, deadlineAt);
       if (frame.kind === "slow") {
         exchange.onSlow?.();
         continue;
       }
-      if (frame.kind === "admitted" && stream) {
-        void sendStream(channel, stream);
+      if (frame.kind === "admitted" && exchange.stream) {
+        void sendStream(channel, exchange.stream);
         continue;
       }
       const isEnd = frame.kind === "answer" || frame.kind === "refused" ||
@@ -203,8 +227,8 @@
         pool.giveBack(channel);
         return { kind: "answer", answer: frame, body: frame.body };
       }
-      const body = streamFrom(channel, frame.body);
-      return { kind: "answer", answer: frame, body };
+      const stream = streamOf(channel, frame.body);
+      return { kind: "answer", answer: frame, ...stream };
     }
   }
 
--- /dev/null
+++ b/src/ingress/exchange_test.ts
@@ -0,0 +1,96 @@
+import { test } from "tap";
+import { createCanceller } from "../core/cancellation.ts";
+import type { Channel } from "../network/channel.ts";
+import { createFakeNetwork } from "../network/fake_network.ts";
+import type { Attempt, Load } from "../network/frames.ts";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import { createExchanger, type ReceivedAnswer } from "./exchange.ts";
+import { discard } from "./hedge.ts";
+import type { PeerPool } from "./peer_pool.ts";
+
+const GUARD = "guard:1";
+const KEEPALIVE_MS = 100;
+const LOAD: Load = {
+  inFlight: 1,
+  allowed: 1,
+  queued: 0,
+  version: 1,
+  slowness: 1,
+  incarnation: "one",
+};
+const ATTEMPT: Attempt = {
+  kind: "attempt",
+  attempt: { source: "here", order: 1 },
+  incarnation: "one",
+  version: 1,
+  from: "",
+  requestId: "id-1",
+  service: "work",
+  caller: "",
+  rank: 0,
+  elsewhere: false,
+  class: "read",
+  tenant: "default",
+  repeatable: true,
+  timeLeftMs: 1_000,
+  method: "GET",
+  path: "/read/1",
+  headers: [],
+  fingerprint: "f",
+  suspect: false,
+  body: new Uint8Array(),
+  streaming: false,
+};
+
+/** An exchange whose answer goes on as a stream that says nothing. */
+async function startSilentStream() {
+  const timer = createFakeTimer();
+  const network = createFakeNetwork(timer, 1);
+  const accepted: Channel[] = [];
+  await network.from("guard").listen(GUARD, (channel) => {
+    accepted.push(channel);
+    void channel.send({
+      kind: "answer",
+      attempt: ATTEMPT.attempt,
+      status: 200,
+      headers: [],
+      body: new Uint8Array(1),
+      streaming: true,
+      load: LOAD,
+    });
+    timer.every(KEEPALIVE_MS, () => {
+      void channel.send({ kind: "pong" }).catch(() => {});
+    });
+  });
+  const connect = (address: string) =>
+    network.from("here").connect(address, 100);
+  const pool: PeerPool = {
+    take: connect,
+    connect,
+    giveBack: () => {},
+    retire: () => {},
+    ping: () => Promise.resolve(undefined),
+    idleCount: () => 0,
+    close: () => {},
+  };
+  const signal = createCanceller();
+  const exchanger = createExchanger({ pool, timer, silenceMs: () => 400 });
+  const running = exchanger.run({
+    address: GUARD,
+    attempt: ATTEMPT,
+    signal,
+    deadlineAt: 1_000,
+  });
+  await timer.advance(10);
+  const received = await running as ReceivedAnswer;
+  return { timer, signal, received, guard: accepted[0] };
+}
+
+test("a stream that nobody has begun to read is closed when it is given up", async (t) => {
+  const { timer, received, guard } = await startSilentStream();
+  t.notOk(guard.closed);
+  const member = {} as never;
+  discard({ kind: "answer", received, member });
+  await timer.advance(10);
+  t.ok(guard.closed);
+});
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -33,8 +33,8 @@
 
 /** Closes the answer of an attempt that lost against another. */
 export function discard(end: AttemptEnd | undefined): void {
-  if (end?.kind === "answer" && !(end.received.body instanceof Uint8Array)) {
-    void end.received.body[Symbol.asyncIterator]().return?.();
+  if (end?.kind === "answer") {
+    end.received.close?.();
   }
 }
 
--- a/tests/scenario/fake_backend.ts
+++ b/tests/scenario/fake_backend.ts
@@ -51,6 +51,8 @@
   hangs: boolean;
   /** Answers that are cut in the middle of their body. */
   cutsBodies: boolean;
+  /** Answers whose bodies begin, and then neither go on nor end. */
+  endless: boolean;
   /** Whether its health check says that it leaves. */
   leaves: boolean;
   crash(): void;
@@ -64,6 +66,9 @@
 
 const REFUSE_MS = 0.2;
 const HEALTH_PATH = "/health";
+/** More than a guard sends as one frame. */
+const BEGUN_BYTES = 100_000;
+const NEVER_MS = 1e9;
 
 function failure(kind: BackendFailure, peer: string): BackendError {
   return new BackendError(kind, { peer, message: kind });
@@ -123,8 +128,15 @@
     });
   }
 
-  async function* bodyOf(text: string): AsyncGenerator<Uint8Array> {
+  async function* bodyOf(
+    text: string,
+    request: BackendRequest,
+  ): AsyncGenerator<Uint8Array> {
     await Promise.resolve();
+    if (server.endless && request.path !== HEALTH_PATH) {
+      yield new Uint8Array(BEGUN_BYTES);
+      await pause(NEVER_MS, request);
+    }
     const bytes = new TextEncoder().encode(text);
     if (server.cutsBodies) {
       yield bytes.subarray(0, 4);
@@ -147,7 +159,7 @@
         // It falls over shortly after, not at once.
         timer.after(1, crash);
       }
-      await pause(server.hangs ? 1e9 : workMs(), request);
+      await pause(server.hangs ? NEVER_MS : workMs(), request);
       completed++;
     } finally {
       if (started === boots) {
@@ -165,7 +177,7 @@
       return {
         status: server.leaves ? 503 : 200,
         headers: [],
-        body: bodyOf("ok"),
+        body: bodyOf("ok", request),
         verdict: { instance: server.boot },
       };
     }
@@ -180,10 +192,18 @@
       if (server.failsLate) {
         await run(request);
       }
-      return { status: server.failStatus, headers: [], body: bodyOf("failed") };
+      return {
+        status: server.failStatus,
+        headers: [],
+        body: bodyOf("failed", request),
+      };
     }
     await run(request);
-    return { status: 200, headers: [], body: bodyOf(`done ${requestId}`) };
+    return {
+      status: 200,
+      headers: [],
+      body: bodyOf(`done ${requestId}`, request),
+    };
   }
 
   const backend: Backend = { send, close: () => Promise.resolve() };
@@ -205,6 +225,7 @@
     poison: "",
     hangs: false,
     cutsBodies: false,
+    endless: false,
     leaves: false,
     crash,
     start() {
