End an answer's stream when its caller leaves, though nothing comes

What callers saw: nothing; servers went on with work whose callers had left. While an answer of over 64 KiB went on, the caller's leaving was only noticed at the next bytes. A body that comes now and then, or not at all, kept its place, its connection and the server's work until then; an answer whose caller left before the first byte was passed on was never closed.

Cause: the caller's signal was tied to an exchange until its head had come, and not to the stream after it. Hedged attempts lost their tie to the caller when the first answer had come. Attempts with a key have none, since a departure must not leave the claim in doubt; once the claim is settled, that reason is gone.

--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -161,10 +161,10 @@
     }
   }
 
-  /** It may be given up before it is read. */
+  /** Its caller may leave while nothing comes, or before it is read. */
   function streamOf(
     channel: Channel,
-    first: Uint8Array,
+    { first, signal }: { first: Uint8Array; signal: Cancellation },
   ): Required<Pick<ReceivedAnswer, "body" | "close">> {
     let ended = false;
     function close(): void {
@@ -173,10 +173,12 @@
         channel.close();
       }
     }
+    const release = signal.onCancel(close);
     const body = streamFrom(channel, {
       first,
       onEnd() {
         ended = true;
+        release();
       },
     });
     return { body, close };
@@ -199,9 +201,9 @@
 
   async function receiveEnd(
     channel: Channel,
-    exchange: Omit<Work, "request" | "signal">,
+    exchange: Omit<Work, "request">,
   ): Promise<ExchangeEnd> {
-    const { attempt, deadlineAt } = exchange;
+    const { attempt, deadlineAt, signal } = exchange;
     while (true) {
       const frame = await nextContent(channel, deadlineAt);
       if (frame.kind === "slow") {
@@ -227,7 +229,7 @@
         pool.giveBack(channel);
         return { kind: "answer", answer: frame, body: frame.body };
       }
-      const stream = streamOf(channel, frame.body);
+      const stream = streamOf(channel, { first: frame.body, signal });
       return { kind: "answer", answer: frame, ...stream };
     }
   }
--- a/src/ingress/exchange_test.ts
+++ b/src/ingress/exchange_test.ts
@@ -86,6 +86,18 @@
   return { timer, signal, received, guard: accepted[0] };
 }
 
+/** Reads a stream to its end; returns whether it was whole. */
+async function isWhole({ body }: ReceivedAnswer): Promise<boolean> {
+  try {
+    for await (const _ of body as AsyncIterable<Uint8Array>) {
+      // Nothing is done with it.
+    }
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 test("a stream that nobody has begun to read is closed when it is given up", async (t) => {
   const { timer, received, guard } = await startSilentStream();
   t.notOk(guard.closed);
@@ -94,3 +106,21 @@
   await timer.advance(10);
   t.ok(guard.closed);
 });
+
+test("a stream that says nothing is closed when its caller leaves", async (t) => {
+  const { timer, signal, received, guard } = await startSilentStream();
+  const reading = isWhole(received);
+  await timer.advance(1_000);
+  t.notOk(guard.closed, "a slow answer is waited for");
+  signal.cancel();
+  await timer.advance(10);
+  t.ok(guard.closed);
+  t.notOk(await reading);
+});
+
+test("a stream whose caller has left before it is read is closed", async (t) => {
+  const { timer, signal, guard } = await startSilentStream();
+  signal.cancel();
+  await timer.advance(10);
+  t.ok(guard.closed);
+});
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -80,9 +80,8 @@
       });
     }
     const cancellers = [createCanceller(), createCanceller()];
-    const release = signal.onCancel(() =>
-      cancellers.forEach((one) => one.cancel())
-    );
+    // Also while the answer goes on as a stream.
+    signal.onCancel(() => cancellers.forEach((one) => one.cancel()));
     const slow = createCanceller();
     function begin(index: 0 | 1, at: Member): Promise<AttemptEnd> {
       return attemptAt(parts, {
@@ -129,7 +128,6 @@
         void one.then(discard);
       }
     });
-    release();
     return best.end;
   }
 
--- a/src/ingress/keyed.ts
+++ b/src/ingress/keyed.ts
@@ -69,6 +69,10 @@
     });
     if (end.kind === "answer") {
       claims.settle({ key, claim: index, outcome: "ran" });
+      const { close } = end.received;
+      if (close) {
+        routed.call.signal.onCancel(close);
+      }
       return replyOf(end, progress.attempts);
     }
     if (end.kind === "unknown") {
