--- a/src/ingress/conversation.ts
+++ b/src/ingress/conversation.ts
@@ -22,6 +22,8 @@
   answer: Answer;
   /** Throws `StepError` when the stream is cut. */
   body: Uint8Array | AsyncIterable<Uint8Array>;
+  /** Gives a stream up, also one that nobody has begun to read. */
+  close?: () => void;
 }
 
 /** The connection was lost before the end came. */
@@ -105,7 +107,11 @@
 
   async function* streamFrom(
     channel: Channel,
-    { first, reader }: { first: Uint8Array; reader: FrameReader },
+    { first, reader, onEnd }: {
+      first: Uint8Array;
+      reader: FrameReader;
+      onEnd: () => void;
+    },
   ): AsyncGenerator<Uint8Array> {
     let whole = false;
     try {
@@ -127,6 +133,7 @@
         yield frame.bytes;
       }
     } finally {
+      onEnd();
       if (whole) {
         pool.giveBack(channel);
       } else {
@@ -135,6 +142,30 @@
     }
   }
 
+  /** Its caller may leave while nothing comes, or before it is read. */
+  function streamOf(
+    { channel, reader, work }: Conversation,
+    first: Uint8Array,
+  ): Required<Pick<ReceivedAnswer, "body" | "close">> {
+    let ended = false;
+    function close(): void {
+      // After its end, the channel is others'.
+      if (!ended) {
+        channel.close();
+      }
+    }
+    const release = work.signal.onCancel(close);
+    const body = streamFrom(channel, {
+      first,
+      reader,
+      onEnd() {
+        ended = true;
+        release();
+      },
+    });
+    return { body, close };
+  }
+
   async function sendStream(
     channel: Channel,
     stream: AsyncIterable<Uint8Array>,
@@ -150,10 +181,8 @@
     }
   }
 
-  function endOf(
-    frame: Frame,
-    { channel, reader, work }: Conversation,
-  ): ExchangeEnd | undefined {
+  function endOf(frame: Frame, talk: Conversation): ExchangeEnd | undefined {
+    const { channel, work } = talk;
     if (frame.kind === "slow") {
       work.onSlow?.();
       return undefined;
@@ -177,8 +206,8 @@
       pool.giveBack(channel);
       return { kind: "answer", answer: frame, body: frame.body };
     }
-    const body = streamFrom(channel, { first: frame.body, reader });
-    return { kind: "answer", answer: frame, body };
+    const stream = streamOf(talk, frame.body);
+    return { kind: "answer", answer: frame, ...stream };
   }
 
   return { of: endOf };
