Let short calls go before long requests of the same rank at a guard

Cause: at equal rank the queue knew only deadlines and whether the objective can be met. A full queue made no room for what takes a sixteenth of the time; a call late for its 80 ms stood behind all that was in time; what is held back for a slow spell stood in the way of what may begin at once.

Now requests of one rank are ordered by worth for their time, in coarse steps (a factor of four in time; being late counts as one and a half steps), then by deadline. What fits and has a place begins at once though others are held back. What takes little of its time (an eighth) waits up to 150 ms for a place.

--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -182,6 +182,7 @@
       tenant,
       rank,
       deadlineAt,
+      usualMs,
       inTime: () => inTimeLeftMs(applicant, timer.now()) >= 0,
       fits: () => holdMs(usualMs) === 0,
     };
@@ -203,6 +204,19 @@
     });
   }
 
+  /** Whether a request may begin at once. */
+  function isFreeFor(applicant: Applicant): boolean {
+    const { alone, usualMs = 0 } = applicant;
+    if (alone) {
+      return inFlight === 0 && lonely.length === 0;
+    }
+    if (!hasRoom() || holdMs(usualMs) > 0) {
+      return false;
+    }
+    return queue.size === 0 ||
+      queue.countBefore(standingOf(applicant), runningOf) === 0;
+  }
+
   /** Longest time that a request is let wait. */
   function longestWaitOf(applicant: Applicant): number {
     const own = longestWaitMs(applicant, timer.now());
@@ -278,14 +292,10 @@
       if (applicant.signal.cancelled) {
         return Promise.resolve({ kind: "refused", reason: "cancelled" });
       }
-      const usualMs = applicant.usualMs ?? 0;
       if (!canEnd(applicant, timer.now())) {
         return Promise.resolve({ kind: "refused", reason: "no_time" });
       }
-      const free = applicant.alone
-        ? inFlight === 0 && lonely.length === 0
-        : hasRoom() && queue.size === 0 && holdMs(usualMs) === 0;
-      if (free) {
+      if (isFreeFor(applicant)) {
         const place = occupy(applicant);
         return Promise.resolve({ kind: "admitted", place });
       }
--- a/src/guard/guard_parts_test.ts
+++ b/src/guard/guard_parts_test.ts
@@ -70,6 +70,7 @@
     tenant,
     rank: 0,
     deadlineAt,
+    usualMs: 0,
     inTime: () => true,
     fits: () => true,
     start: () => log.push(`start ${tenant} ${deadlineAt}`),
--- a/src/guard/patience.ts
+++ b/src/guard/patience.ts
@@ -23,6 +23,10 @@
 const MOST_SHARE = 1.3;
 /** Share of its time that a request waits when it can't be in time any more. */
 const LATE_PATIENCE_SHARE = 0.3;
+/** The same of what takes little of its time, in milliseconds. */
+const BRIEF_PATIENCE_MS = 150;
+/** Multiple of its usual time that something brief has left. */
+const BRIEF_MULTIPLE = 8;
 
 /** Returns for how long it can wait and still be within its objective, in ms. */
 export function inTimeLeftMs(timing: Timing, now: number): number {
@@ -40,11 +44,14 @@
 
 /**
  * Returns the longest wait in ms: for as long as its objective can be met, and
- * for a part of its time beyond that, when it only fills idle places.
+ * for a part of its time beyond that, when it only fills idle places. What takes
+ * little of its time waits for longer: it has a place before it would elsewhere.
  */
 export function longestWaitMs(timing: Timing, now: number): number {
   const { objectiveAt, deadlineAt, usualMs = 0 } = timing;
-  const late = (deadlineAt - usualMs - now) * LATE_PATIENCE_SHARE;
+  const leftMs = deadlineAt - now;
+  const brief = usualMs * BRIEF_MULTIPLE <= leftMs ? BRIEF_PATIENCE_MS : 0;
+  const late = Math.max(brief, (leftMs - usualMs) * LATE_PATIENCE_SHARE);
   const patience = objectiveAt === undefined
     ? Infinity
     : Math.max(inTimeLeftMs(timing, now), late);
--- a/src/guard/queue.ts
+++ b/src/guard/queue.ts
@@ -1,9 +1,11 @@
 /**
  * The short queue at a guard: fair between tenants, and within a tenant by
- * rank, by whether the objective can still be met, and by deadline.
+ * rank, by what a request is worth for the time it takes, and by deadline.
  *
  * Answers a load above what the server can do: its time goes to requests that
- * it still serves in time.
+ * it still serves in time, and at the same rank to many short ones rather than
+ * to one long one. Short ones are often calls of requests that already run,
+ * whose work is lost with the call.
  * @module
  */
 
@@ -14,6 +16,8 @@
   rank: number;
   /** Monotonic time by which it must have been answered. */
   deadlineAt: number;
+  /** Time that such a request usually takes, in ms; 0 while unknown. */
+  usualMs: number;
   /** Whether it would be answered within its objective if it began now. */
   inTime(): boolean;
   /** Whether it may begin now. */
@@ -40,7 +44,10 @@
   add(request: Waiting, bound: number): boolean;
   /** Takes the next request that fits, of the tenant with least running. */
   take(runningOf: (tenant: string) => number): Waiting | undefined;
-  /** Number of waiting requests that go before one that would be added. */
+  /**
+   * Number of waiting requests that go before one that would be added. What is
+   * held back does not stand before what may begin now.
+   */
   countBefore(
     request: Standing,
     runningOf: (tenant: string) => number,
@@ -51,10 +58,21 @@
   drain(): Waiting[];
 }
 
+/** Factor between the times of requests that count as of different size. */
+const SIZE_STEP = 4;
+/** Sizes by which a request that can't be in time any more stands behind. */
+const LATE_STEPS = 1.5;
+
+/** Size of a request in steps; more is worth less for the time it takes. */
+function costSteps({ usualMs, inTime }: Standing): number {
+  const size = Math.log(Math.max(1, usualMs)) / Math.log(SIZE_STEP);
+  return Math.round(size) + (inTime() ? 0 : LATE_STEPS);
+}
+
 /** Whether a request is worth more than another, whatever their deadlines. */
 function outranks(one: Standing, other: Standing): boolean {
   return one.rank === other.rank
-    ? one.inTime() && !other.inTime()
+    ? costSteps(one) < costSteps(other)
     : one.rank < other.rank;
 }
 
@@ -167,8 +185,10 @@
     },
     countBefore(request, runningOf) {
       const own = runningOf(request.tenant);
+      const mayBegin = request.fits();
       let count = 0;
-      for (const [tenant, list] of tenants) {
+      for (const [tenant, all] of tenants) {
+        const list = mayBegin ? all.filter((one) => one.fits()) : all;
         // Others go first until as much of theirs runs.
         count += tenant === request.tenant
           ? list.filter((one) => goesBefore(one, request)).length
