Show that a refusal by a full fleet costs four exchanges

The test plays five servers at twice their load on fake time. That 0.8 of the servers' places are used holds already, and must go on holding; so must that all is served again once there is room.

--- /dev/null
+++ b/tests/scenario/full_fleet_test.ts
@@ -0,0 +1,73 @@
+/**
+ * A refusal cost four exchanges with guards, most of them to be told once more
+ * that every server was busy (issue 17).
+ */
+import { test } from "tap";
+import { alwaysBroken } from "./checks.ts";
+import { startSmallWorld } from "./small_world.ts";
+import type { CallRecord, World } from "./world.ts";
+
+const SERVERS = 5;
+const WORK_MS = 60;
+/** Calls a millisecond that the servers can do, each with 8 slots. */
+const CAPACITY_PER_MS = SERVERS * 8 / WORK_MS;
+/** Exchanges of a refusal: the first, and one more. */
+const MOST_EXCHANGES = 2;
+
+async function startBusyWorld(seed: number): Promise<World> {
+  return await startSmallWorld({
+    seed,
+    servers: SERVERS,
+    meanMs: WORK_MS,
+    queueWaitMs: 2_000,
+    coldRatePerS: 1_000,
+    look: { objective_ms: 200, deadline_ms: 1_200 },
+  });
+}
+
+/** Sends calls at a multiple of what the servers can do. */
+async function load(
+  world: World,
+  { multiple, forMs }: { multiple: number; forMs: number },
+): Promise<CallRecord[]> {
+  const calls: CallRecord[] = [];
+  const until = world.timer.now() + forMs;
+  let due = 0;
+  while (world.timer.now() < until) {
+    due += multiple * CAPACITY_PER_MS;
+    for (; due >= 1; due--) {
+      const via = world.vms[calls.length % SERVERS].name;
+      calls.push(world.call({ via, path: `/look/${calls.length}` }));
+    }
+    await world.timer.advance(1);
+  }
+  return calls;
+}
+
+test("a refusal by a full fleet costs one exchange beyond the first", async (t) => {
+  for (const seed of [1, 2]) {
+    const world = await startBusyWorld(seed);
+    await load(world, { multiple: 2, forMs: 1_000 });
+    const calls = await load(world, { multiple: 2, forMs: 1_000 });
+    await world.timer.advance(2_000);
+    const refused = calls.filter(({ reply }) => reply?.outcome === "not_run");
+    const dear = refused.filter(({ reply }) =>
+      reply!.attempts > MOST_EXCHANGES
+    );
+    t.ok(refused.length > 100, `seed ${seed}: ${refused.length} are refused`);
+    t.equal(dear.length, 0, `${dear.length} of ${refused.length} took more`);
+    const served = calls.filter(({ reply }) => reply?.status === 200).length;
+    t.ok(served > 0.8 * CAPACITY_PER_MS * 1_000, `${served} are served`);
+    t.same(alwaysBroken(world), []);
+  }
+});
+
+test("a fleet that was full is used again once it has room", async (t) => {
+  const world = await startBusyWorld(3);
+  await load(world, { multiple: 2, forMs: 1_000 });
+  await world.timer.advance(1_500);
+  const calls = await load(world, { multiple: 0.5, forMs: 500 });
+  await world.timer.advance(2_000);
+  const served = calls.filter(({ reply }) => reply?.status === 200).length;
+  t.equal(served, calls.length);
+});
--- a/tests/scenario/small_world.ts
+++ b/tests/scenario/small_world.ts
@@ -6,6 +6,8 @@
 import { type RoutePolicy, siteSchema } from "../../src/settings/site.ts";
 import { createWorld, SERVICE, type World } from "./world.ts";
 
+const SLOTS = 8;
+
 /** What a small world is made of. */
 export interface SmallWorldOptions {
   seed: number;
@@ -15,6 +17,8 @@
   retryRatio?: number;
   /** Longest wait at a guard, in milliseconds. */
   queueWaitMs?: number;
+  /** Requests a second that a cold server gets; else it warms up by trust. */
+  coldRatePerS?: number;
   /** Settings of the route to look. */
   look?: Partial<RoutePolicy>;
 }
@@ -35,6 +39,9 @@
         [SERVICE]: {
           team: "work",
           queue_wait_ms: options.queueWaitMs,
+          cold_rate_per_s: options.coldRatePerS,
+          cold_ms: options.coldRatePerS && 1,
+          slots: options.coldRatePerS && SLOTS,
           routes: {
             look: {
               path: "/look/*",
@@ -53,7 +60,7 @@
       },
     }),
     shape: {
-      slots: 8,
+      slots: SLOTS,
       meanMs,
       coldCompletions: 0,
       coldFactor: 1,
