Go straight to the guard with the shortest wait when all are known to be full

Cause: an ingress asked guard after guard, each of which said "busy", though the reports that came with every answer and refusal already said so of all of them.

src/ingress/fleet_state.ts reads from these reports, with their age, whether all servers that are left are full or slow (reports of at most 100 ms), and which one would begin the request first. Then that guard decides (elsewhere is false); a second one decides if it refuses; that is the end. Also a guard decides at once if a refusal could only send the request to full ones, and after one refusal if all others have told something within 400 ms. A stale report never keeps a request away: "full" only changes how a guard is asked, and an unknown server is asked as before.

--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -117,7 +117,10 @@
   async function run(routed: RoutedCall): Promise<Reply> {
     const { call, route, deadlineAt } = routed;
     const { stream, started } = watched(routed);
-    const search = createSearch((avoid) => parts.choose(routed, avoid));
+    const search = createSearch({
+      choose: (avoid) => parts.choose(routed, avoid),
+      outlook: (avoid) => parts.outlook(routed, avoid),
+    });
     let mayHaveRun = false;
     let crashes = 0;
     let last: AttemptEnd | undefined;
@@ -131,7 +134,7 @@
       if (!place) {
         break;
       }
-      const { member, elsewhere } = place;
+      const { member, elsewhere, last: isLast } = place;
       attempts++;
       const askedAt = timer.now();
       const suspect = crashes > 0;
@@ -174,7 +177,7 @@
         break;
       }
       const waitedMs = timer.now() - askedAt;
-      if (hasNoPlace(end, { waitedMs, wasBest: !elsewhere })) {
+      if (hasNoPlace(end, { waitedMs, wasBest: isLast })) {
         break;
       }
       if (end.kind === "not_run" && isTurnedAway(end.cause)) {
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -19,11 +19,14 @@
 import { type AnswerSizes, createAnswerSizes } from "./answer_sizes.ts";
 import { createServiceBudgets } from "./budget.ts";
 import { type Call, notRunReply, type Reply, unknownReply } from "./call.ts";
+import { MEDIAN } from "./attempt.ts";
 import { createDispatcher } from "./dispatch.ts";
 import type { Exchanger } from "./exchange.ts";
 import { fingerprintOf } from "./fingerprint.ts";
+import { firstFreeOfFull, isKnown } from "./fleet_state.ts";
 import { createHints, type Hints } from "./hints.ts";
 import { createKeyedCalls } from "./keyed.ts";
+import type { FleetOutlook } from "./search.ts";
 
 /** Commits claims through control's quorum. */
 export interface ClaimService {
@@ -90,6 +93,8 @@
   sizes: AnswerSizes;
   /** Chooses a backend server for a request, but for some. */
   choose(routed: RoutedCall, avoid: ReadonlySet<string>): Member | undefined;
+  /** What is known of the servers of a request, but for some. */
+  outlook(routed: RoutedCall, avoid: ReadonlySet<string>): FleetOutlook;
   attemptFrame(routed: RoutedCall, options: FrameOptions): Attempt;
 }
 
@@ -120,6 +125,8 @@
 const DEFAULT_TENANT = "default";
 const LONGEST_TIMEOUT_MS = 600_000;
 const BAD_REQUEST = 400;
+/** Time that work is taken to need while nothing is known of it, in ms. */
+const UNKNOWN_WORK_MS = 50;
 
 /** Creates an ingress. */
 export function createIngress(options: IngressOptions): Ingress {
@@ -148,14 +155,44 @@
   }
   directory.onChange((change) => change.services.forEach(noteReplacements));
 
-  function choose(
-    { route, settings }: RoutedCall,
+  /** Members in service of a request's service, but for some. */
+  function openMembers(
+    { route }: RoutedCall,
     avoid: ReadonlySet<string>,
-  ): Member | undefined {
+  ): Member[] {
     const members = directory.service(route.service)?.members ?? [];
-    const open = members.filter((member) =>
+    return members.filter((member) =>
       directory.inService(member) && !avoid.has(member.server)
     );
+  }
+
+  function withIncarnation(member: Member): Member {
+    return { ...member, incarnation: hints.incarnationOf(member) };
+  }
+
+  function outlook(
+    routed: RoutedCall,
+    avoid: ReadonlySet<string>,
+  ): FleetOutlook {
+    const open = openMembers(routed, avoid);
+    const candidates = open.map((one) => hints.candidate(one, domain));
+    const allKnown = open.length > 0 && candidates.every(isKnown);
+    const usualMs = metrics.quantile(routed.settings.class, MEDIAN) ??
+      UNKNOWN_WORK_MS;
+    const first = firstFreeOfFull(candidates, { usualMs, random });
+    const member = open.find((one) => one.server === first?.server);
+    return !first || !member ? { allKnown } : {
+      allKnown,
+      firstFree: { member: withIncarnation(member), waitMs: first.waitMs },
+    };
+  }
+
+  function choose(
+    routed: RoutedCall,
+    avoid: ReadonlySet<string>,
+  ): Member | undefined {
+    const { settings } = routed;
+    const open = openMembers(routed, avoid);
     if (open.length === 0) {
       return undefined;
     }
@@ -165,7 +202,7 @@
         answerBytes: sizes.of(settings.class),
       });
     const member = open.find((one) => one.server === chosen.server);
-    return member && { ...member, incarnation: hints.incarnationOf(member) };
+    return member && withIncarnation(member);
   }
 
   /**
@@ -225,6 +262,7 @@
     hints,
     sizes,
     choose,
+    outlook,
     attemptFrame,
   };
   const budgets = createServiceBudgets(() => ({
--- a/src/ingress/search.ts
+++ b/src/ingress/search.ts
@@ -1,6 +1,7 @@
 /**
  * The search of one request for a place: first at guards that may say that
- * another is better, and if all say so, at the best of them all the same.
+ * another is better, and if all say so, or are known to be full, at the best of
+ * them all the same.
  * @module
  */
 import type { Member } from "../control/commands.ts";
@@ -10,6 +11,31 @@
   member: Member;
   /** Whether another guard is asked if this one refuses. */
   elsewhere: boolean;
+  /** Whether its refusal, for want of a place, is the end of the search. */
+  last: boolean;
+}
+
+/** Where to go if all servers are known to be full. */
+export interface FullFleetPlace {
+  member: Member;
+  /** Estimate of the wait there, in milliseconds. */
+  waitMs: number;
+}
+
+/** What is known of the servers but for some. */
+export interface FleetOutlook {
+  /** Whether there are some, and what they last told is of some use. */
+  allKnown: boolean;
+  /** The one that would begin the request first, if all are full. */
+  firstFree?: FullFleetPlace;
+}
+
+/** What a search chooses by. */
+export interface SearchOptions {
+  /** Returns the best server but for some. */
+  choose(avoid: ReadonlySet<string>): Member | undefined;
+  /** Returns what is known of the servers but for some. */
+  outlook?(avoid: ReadonlySet<string>): FleetOutlook;
 }
 
 /** The search of one request for a place. */
@@ -31,16 +57,19 @@
 const MAX_TURNED_AWAY = 3;
 /** Guards that are asked in all. */
 const MAX_PLACES = 6;
+/** Exchanges that a refusal costs where all guards are known to be full. */
+const MAX_PLACES_IF_FULL = 2;
 
-/** Creates a search; `choose` returns the best server but for some. */
-export function createSearch(
-  choose: (avoid: ReadonlySet<string>) => Member | undefined,
-): Search {
+/** Creates a search. */
+export function createSearch(options: SearchOptions): Search {
+  const { choose } = options;
   const tried = new Set<string>();
   const turnedAwayBy = new Map<Member, number>();
   let asked = 0;
   /** Whether guards are asked to run the request even if another is better. */
   let insists = false;
+  /** Whether one guard was asked to decide, as enough was known. */
+  let decides = false;
 
   function chooseNext(): Member | undefined {
     const fresh = choose(tried);
@@ -51,6 +80,20 @@
     return chooseAgain();
   }
 
+  /** Returns a guard that must decide, if all are known to be full. */
+  function chooseOfFull(): Member | undefined {
+    const place = options.outlook?.(tried).firstFree;
+    const known = Math.min(...turnedAwayBy.values());
+    return place && known <= place.waitMs ? chooseAgain() : place?.member;
+  }
+
+  /** Whether asking guards in turn would only tell what is known. */
+  function enoughIsKnown(): boolean {
+    const outlook = options.outlook?.(tried);
+    return outlook?.firstFree !== undefined ||
+      (turnedAwayBy.size > 0 && outlook?.allKnown === true);
+  }
+
   /** Of the guards that turned it away, the one with the shortest wait. */
   function chooseAgain(): Member | undefined {
     insists = true;
@@ -71,12 +114,15 @@
       }
       asked++;
       const exhausted = insists || turnedAwayBy.size >= MAX_TURNED_AWAY;
-      const member = exhausted ? chooseAgain() : chooseNext();
+      const ofFull = exhausted ? undefined : chooseOfFull();
+      const member = ofFull ?? (exhausted ? chooseAgain() : chooseNext());
       if (!member) {
         return undefined;
       }
       tried.add(member.server);
-      return { member, elsewhere: !insists };
+      decides ||= insists || enoughIsKnown();
+      const last = insists || (decides && asked >= MAX_PLACES_IF_FULL);
+      return { member, elsewhere: !decides, last };
     },
     startedAgain: (member) => tried.delete(member.server),
     turnedAway: (member, waitMs) => turnedAwayBy.set(member, waitMs),
--- a/src/ingress/search_test.ts
+++ b/src/ingress/search_test.ts
@@ -4,9 +4,9 @@
 import { createSearch } from "./search.ts";
 
 function searchAmong(members: Member[]) {
-  return createSearch((avoid) =>
-    members.find((member) => !avoid.has(member.server))
-  );
+  return createSearch({
+    choose: (avoid) => members.find((member) => !avoid.has(member.server)),
+  });
 }
 
 test("after three guards a request goes to the one with the shortest wait", (t) => {
@@ -35,3 +35,34 @@
   t.equal(search.next(), undefined);
   t.end();
 });
+
+function searchOfFull(members: Member[], waits: Record<string, number>) {
+  return createSearch({
+    choose: (avoid) => members.find((member) => !avoid.has(member.server)),
+    outlook(avoid) {
+      const open = members.filter((member) => !avoid.has(member.server));
+      const [best] = open.sort((one, other) =>
+        waits[one.server] - waits[other.server]
+      );
+      return {
+        allKnown: open.length > 0,
+        firstFree: best && { member: best, waitMs: waits[best.server] },
+      };
+    },
+  });
+}
+
+test("of guards known to be full, two at most are asked, and must decide", (t) => {
+  const members = ["a", "b", "c", "d"].map(fakeMember);
+  const search = searchOfFull(members, { a: 90, b: 30, c: 60, d: 70 });
+  const places = [search.next()!, search.next()!];
+  t.same(
+    places.map(({ member, elsewhere, last }) => [
+      member.server,
+      elsewhere,
+      last,
+    ]),
+    [["b", false, false], ["c", false, true]],
+  );
+  t.end();
+});
