--- a/src/ingress/fleet_state.ts
+++ b/src/ingress/fleet_state.ts
@@ -52,12 +52,13 @@
 /** Returns the server with the shortest wait, if all are known to be full. */
 export function firstFreeOfFull(
   candidates: readonly Candidate[],
-  { usualMs, random }: { usualMs: number; random: Random },
+  { usualMs, random }: { usualMs: () => number; random: Random },
 ): FirstFree | undefined {
   if (candidates.length === 0 || !candidates.every(isKnownFull)) {
     return undefined;
   }
-  const waits = candidates.map((one) => waitMsAt(one, usualMs));
+  const workMs = usualMs();
+  const waits = candidates.map((one) => waitMsAt(one, workMs));
   const limit = Math.min(...waits) * EQUAL_SHARE;
   const best = candidates.filter((_, index) => waits[index] <= limit);
   const { server } = best[random.integer(best.length)];
--- a/src/ingress/fleet_state_test.ts
+++ b/src/ingress/fleet_state_test.ts
@@ -16,7 +16,7 @@
   slowness: 1,
   failures: 0,
 };
-const choice = { usualMs: 60, random: createSeededRandom(1) };
+const choice = { usualMs: () => 60, random: createSeededRandom(1) };
 
 test("full is what a fresh report says; what is old or has room is not", (t) => {
   t.ok(isKnownFull(FULL));
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -177,8 +177,8 @@
     const open = openMembers(routed, avoid);
     const candidates = open.map((one) => hints.candidate(one, domain));
     const allKnown = open.length > 0 && candidates.every(isKnown);
-    const usualMs = metrics.quantile(routed.settings.class, MEDIAN) ??
-      UNKNOWN_WORK_MS;
+    const usualMs = () =>
+      metrics.quantile(routed.settings.class, MEDIAN) ?? UNKNOWN_WORK_MS;
     const first = firstFreeOfFull(candidates, { usualMs, random });
     const member = open.find((one) => one.server === first?.server);
     return !first || !member ? { allKnown } : {
--- a/src/ingress/search.ts
+++ b/src/ingress/search.ts
@@ -120,7 +120,7 @@
         return undefined;
       }
       tried.add(member.server);
-      decides ||= insists || enoughIsKnown();
+      decides ||= insists || ofFull !== undefined || enoughIsKnown();
       const last = insists || (decides && asked >= MAX_PLACES_IF_FULL);
       return { member, elsewhere: !decides, last };
     },
