Keep log lines for rare ends when refusals for load are many

Cause: one rate of 20 lines a second for all that did not go well.

Change: refusals for load, and requests whose callers left, have 4 lines a second of their own in each part of a process; their fields are made only for lines that are written. Unknown ends keep the 20.

Evidence: src/core/request_log_test.ts "what load makes common displaces ..." (new; there was no such rate before). How far a log reaches now was not measured yet.

--- a/src/core/log_limit.ts
+++ b/src/core/log_limit.ts
@@ -10,6 +10,8 @@
 export interface LimitedLog {
   /** Logs an event, or counts it as left out. */
   info(event: string, fields: Record<string, LogValue>): void;
+  /** The same, with fields that are made only for a line that is written. */
+  infoOf(event: string, fields: () => Record<string, LogValue>): void;
 }
 
 const WINDOW_MS = 1_000;
@@ -35,15 +37,21 @@
     leftOut = 0;
   }
 
+  function infoOf(
+    event: string,
+    fields: () => Record<string, LogValue>,
+  ): void {
+    turnWindow();
+    if (written >= perSecond) {
+      leftOut++;
+      return;
+    }
+    written++;
+    logger.info(event, fields());
+  }
+
   return {
-    info(event, fields) {
-      turnWindow();
-      if (written >= perSecond) {
-        leftOut++;
-        return;
-      }
-      written++;
-      logger.info(event, fields);
-    },
+    info: (event, fields) => infoOf(event, () => fields),
+    infoOf,
   };
 }
--- a/src/core/request_log.ts
+++ b/src/core/request_log.ts
@@ -1,7 +1,8 @@
 /**
  * Lines about requests at a bounded rate: of what went well a sample, chosen by
  * the request's id so that all processes log the same requests; of the rest
- * each one, as far as the rate allows.
+ * each one, as far as the rate allows. What load makes common has a small rate
+ * of its own, so that it displaces nothing rare.
  * @module
  */
 import type { Timer } from "../time/timer.ts";
@@ -13,6 +14,8 @@
 export interface RequestLog {
   /** Something did not go as wished. */
   note(event: string, request: string, fields: Fields): void;
+  /** The same, where load makes it common: refusals, callers that left. */
+  noteCommon(event: string, request: string, fields: () => Fields): void;
   /** All is well: logged if the request is in the sample. */
   sample(event: string, request: string, fields: () => Fields): void;
 }
@@ -21,6 +24,8 @@
 
 /** Lines a second of one part of a process. */
 const LINES_PER_S = 20;
+/** Lines a second of one part about what load makes common. */
+const COMMON_LINES_PER_S = 4;
 /** One request in so many is in the sample. */
 const SAMPLE_PERIOD = 128;
 const encoder = new TextEncoder();
@@ -35,8 +40,14 @@
   options: { logger: Logger; timer: Timer },
 ): RequestLog {
   const log = createLimitedLog({ ...options, perSecond: LINES_PER_S });
+  const common = createLimitedLog({
+    ...options,
+    perSecond: COMMON_LINES_PER_S,
+  });
   return {
     note: (event, request, fields) => log.info(event, { request, ...fields }),
+    noteCommon: (event, request, fields) =>
+      common.infoOf(event, () => ({ request, ...fields() })),
     sample(event, request, fields) {
       if (isSampled(request)) {
         log.info(event, { request, ...fields() });
--- a/src/core/request_log_test.ts
+++ b/src/core/request_log_test.ts
@@ -41,3 +41,17 @@
   log.note("refused", "later", {});
   t.same(lines.slice(20), ["log.left_out ", "refused later"]);
 });
+
+test("what load makes common displaces no line about an unknown end", (t) => {
+  const lines: string[] = [];
+  const timer = createFakeTimer();
+  const log = createRequestLog({ logger: recordingLogger(lines), timer });
+  for (let count = 0; count < 500; count++) {
+    log.noteCommon("refused", `request-${count}`, () => ({}));
+  }
+  const refusals = lines.length;
+  log.note("unknown", "rare", {});
+  t.equal(refusals, 4);
+  t.same(lines.slice(refusals), ["unknown rare"]);
+  t.end();
+});
--- a/src/guard/attempt_notes.ts
+++ b/src/guard/attempt_notes.ts
@@ -47,6 +47,14 @@
 }
 
 const FIRST_SERVER_ERROR = 500;
+/** Refusals of which there are many under load. */
+const COMMON_UNDER_LOAD = new Set<RefusalReason>([
+  "overloaded",
+  "cold",
+  "no_connection",
+  "no_time",
+  "cancelled",
+]);
 
 /** How an attempt ended that the server did not answer well. */
 function howItEnded(end: End): Record<string, LogValue> {
@@ -107,7 +115,11 @@
         log.sample("guard.turned_away", frame.requestId, fields);
         return;
       }
-      log.note("guard.refused", frame.requestId, fields());
+      if (COMMON_UNDER_LOAD.has(reason)) {
+        log.noteCommon("guard.refused", frame.requestId, fields);
+      } else {
+        log.note("guard.refused", frame.requestId, fields());
+      }
       recordRefusal(frame, reason);
     },
     ended(frame, end, waitedMs) {
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -381,6 +381,8 @@
     });
     if (reply.outcome === "ran") {
       log.sample("request.answered", call.requestId, fields);
+    } else if (call.signal.cancelled || reply.outcome === "not_run") {
+      log.noteCommon("request.not_answered", call.requestId, fields);
     } else {
       log.note("request.not_answered", call.requestId, fields());
     }
