Read the sockets of a late node to the end before sending on

Cause, found with a script that blocks the loop while clients write and leave (Node 20.20; turns counted from the poll that read the request): - A FIN behind a request is read by the next poll of that socket, so one turn later `socket.readableEnded` is true and 'end' is emitted. `aborted` and 'close' of the request and 'close' of the response, which the ingress listened to, come another turn later. An RST is told in the same poll, one callback after the request. - With 3,000 ready sockets the runtime polls several times in one turn, and 'end' comes within it. - One poll accepts ONE new connection. 400 connections that wait in the listening socket are accepted in 400 turns, each followed by its request one turn later and its FIN two turns later. So the node stays behind long after its loop turns again, while its event loop delay looks well; each turn's work delays the next accept. One turn's wait before sending on could not help: the event it waited for comes two turns later.

Now a node knows that it is late: a beat of 20 ms that came 50 ms late, looked at on the request path too, since a poll may come before the timers; or polls that have accepted a connection each for 50 ms. Then a request, or an attempt from another node, waits until two polls have passed; what has left by then is dropped (`left_unread_total`), and of the rest 8 start between two polls, so that closings that come meanwhile are read. New connections are accepted first for up to 25 ms. Retries, hedges and admitted attempts wait for the two polls only. While the node keeps up nothing waits: one comparison.

The time for which a request lay unread is not known. Half of the hold-up is taken, the guess with the least error; a deadline that has passed by that is refused as not run (`no_time`), at the ingress and at the guard. Connections that were queued are not aged.

Ruled out: reading a socket to EAGAIN by hand (the parser owns it); listeners of 'end' for each request (pipelines exceed the emitter's bound; one for each connection does).

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -12,6 +12,7 @@
 import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
+import { arrivalOf, type EventLoopLag } from "../time/event_loop_lag.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import type { Channel } from "../network/channel.ts";
 import type {
@@ -58,6 +59,7 @@
   incarnation: string;
   directory: Directory;
   timer: Timer;
+  lag: EventLoopLag;
   logger: Logger;
   recorder: Recorder;
   metrics: Metrics;
@@ -143,7 +145,7 @@
 /** Creates a guard that knows no backend server yet. */
 export function createGuard(options: GuardOptions): Guard {
   const { vm, domain, incarnation, directory, timer, logger } = options;
-  const { recorder, metrics } = options;
+  const { recorder, metrics, lag } = options;
   const notes = createAttemptNotes({
     ...options,
     moment: () => ({
@@ -483,8 +485,11 @@
       await refuseStarted(channel, { frame, refused: verdict });
       return;
     }
+    if (lag.late) {
+      await lag.closingsKnown();
+    }
     // The standing may have changed during the wait.
-    const late = standing(frame);
+    const late = gone.cancelled ? "cancelled" : standing(frame);
     const { backend } = link;
     if (late || !backend) {
       verdict.place.release();
@@ -558,10 +563,33 @@
     };
   }
 
+  /**
+   * Takes an attempt whose cancellation may lie behind it: the sender closes
+   * the channel. It is known by then, and so is the time that is left.
+   */
+  async function serveLate(channel: Channel, frame: Attempt): Promise<void> {
+    const readAt = timer.now();
+    const arrivedAt = arrivalOf(readAt, channel.unreadMs ?? 0);
+    await lag.caughtUp(() => channel.closed);
+    if (channel.closed) {
+      metrics.count("left_unread");
+      return;
+    }
+    const agedMs = timer.now() - arrivedAt;
+    const { timeLeftMs, objectiveLeftMs } = frame;
+    await serveAttempt(channel, {
+      ...frame,
+      timeLeftMs: Math.max(0, timeLeftMs - agedMs),
+      objectiveLeftMs: objectiveLeftMs && objectiveLeftMs - agedMs,
+    });
+  }
+
   async function serveFrame(channel: Channel, frame: Frame): Promise<void> {
     switch (frame.kind) {
       case "attempt":
-        return await serveAttempt(channel, frame);
+        return channel.late
+          ? await serveLate(channel, frame)
+          : await serveAttempt(channel, frame);
       case "fence": {
         const other = frame.incarnation !== incarnation;
         const state = other ? "other_incarnation" : ledger.fence(frame.attempt);
--- a/src/http/caller_front.ts
+++ b/src/http/caller_front.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { endToEnd, type HeaderList } from "../core/headers.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields, StepError } from "../core/errors.ts";
@@ -11,6 +12,7 @@
 import type { Random } from "../core/random.ts";
 import type { Call, Reply } from "../ingress/call.ts";
 import type { Node } from "../node/node.ts";
+import { arrivalOf, type EventLoopLag } from "../time/event_loop_lag.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import { readBody } from "./body.ts";
 import { type CallerDialect, PlainCallerDialect } from "./dialect.ts";
@@ -38,6 +40,7 @@
   timer: Timer;
   random: Random;
   logger: Logger;
+  lag: EventLoopLag;
   /** How callers' HTTP names things; the product's own by default. */
   dialect?: CallerDialect;
 }
@@ -66,13 +69,15 @@
 
 /** Creates the HTTP front of a node. */
 export function createCallerFront(options: CallerFrontOptions): CallerFront {
-  const { node, timer, random, logger } = options;
+  const { node, timer, random, logger, lag } = options;
   const dialect = options.dialect ?? new PlainCallerDialect();
+  /** Whether the other end of a connection has ended it. */
+  const ended = new WeakMap<Socket, Cancellation>();
   let stopping = false;
 
   async function callOf(
     request: IncomingMessage,
-    signal: Cancellation,
+    { signal, arrivedAt }: { signal: Cancellation; arrivedAt?: number },
   ): Promise<Call> {
     const notes = dialect.read(endToEnd(headersOf(request)));
     const given = notes.requestId;
@@ -86,6 +91,7 @@
       host: request.headers.host ?? "",
       path: request.url ?? "/",
       timeoutMs: notes.timeoutMs,
+      arrivedAt,
       headers: notes.headers,
       body: await readBody(request),
       bodyLength: declared === undefined ? undefined : Number(declared),
@@ -135,12 +141,23 @@
     response: ServerResponse,
   ): Promise<void> {
     const leaving = createCanceller();
+    const release = ended.get(request.socket)?.onCancel(leaving.cancel);
     response.once("close", () => {
+      release?.();
       if (!response.writableFinished) {
         leaving.cancel();
       }
     });
-    const call = await callOf(request, leaving);
+    const { late, unreadMs } = lag;
+    const arrivedAt = late ? arrivalOf(timer.now(), unreadMs) : undefined;
+    const call = await callOf(request, { signal: leaving, arrivedAt });
+    if (late) {
+      await lag.caughtUp(() => leaving.cancelled);
+    }
+    if (leaving.cancelled) {
+      node.metrics.count("left_unread");
+      return;
+    }
     const reply = await node.ingress.handle(call);
     if (response.destroyed) {
       return;
@@ -188,6 +205,15 @@
     });
   });
 
+  server.on("connection", (socket) => {
+    lag.noteAccepted();
+    // Requests and responses hear of it two polls later.
+    const end = createCanceller();
+    socket.once("end", end.cancel);
+    socket.once("close", end.cancel);
+    ended.set(socket, end);
+  });
+
   node.directory.onChange(() => {
     const limits = node.directory.global?.limits.callers;
     if (limits) {
--- a/src/ingress/call.ts
+++ b/src/ingress/call.ts
@@ -16,6 +16,8 @@
   path: string;
   /** Longest time that the caller waits, in milliseconds. */
   timeoutMs: number | undefined;
+  /** Monotonic time at which it arrived; by default when it is handled. */
+  arrivedAt?: number;
   /** Headers that the backend server gets. */
   headers: HeaderList;
   /** Whole body, or a stream of a longer one. */
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -60,7 +60,7 @@
   parts: IngressParts,
   budgets: DispatchBudgets,
 ): Dispatcher {
-  const { timer, metrics, recorder, directory, incarnation } = parts;
+  const { timer, lag, metrics, recorder, directory, incarnation } = parts;
 
   const hedger = createHedger(parts, { budgets: budgets.budgets, nextId });
 
@@ -127,6 +127,9 @@
     let reached = 0;
     const most = maxReached(routed);
     while (reached < most && timer.now() < deadlineAt) {
+      if (attempts > 0 && lag.late) {
+        await lag.closingsKnown();
+      }
       const place = call.signal.cancelled ? undefined : search.next();
       if (!place) {
         break;
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -43,7 +43,7 @@
   parts: IngressParts,
   options: { budgets: ServiceBudgets; nextId: () => AttemptId },
 ): Hedger {
-  const { timer, metrics, recorder, directory } = parts;
+  const { timer, lag, metrics, recorder, directory } = parts;
   const { budgets, nextId } = options;
 
   function hedgeDelay(routed: RoutedCall): number | undefined {
@@ -96,8 +96,15 @@
       });
     }
     const attempts = [begin(0, member)];
-    const firstEnded = await endsInTime(attempts[0], { delayMs, slow });
-    const other = firstEnded
+    let firstEnded = await endsInTime(attempts[0], { delayMs, slow });
+    if (!firstEnded && lag.late) {
+      // Timers come before the poll that tells of an answer or a leaving.
+      void attempts[0].then(() => {
+        firstEnded = true;
+      });
+      await lag.closingsKnown();
+    }
+    const other = firstEnded || signal.cancelled
       ? undefined
       : parts.choose(routed, new Set([...tried, member.server]));
     const hedge = budgets.of(routed.route.service).hedge;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from "../metrics/metrics.ts";
 import type { Attempt, Outcome } from "../network/frames.ts";
 import type { Directory, FoundRoute } from "../node/directory.ts";
+import type { EventLoopLag } from "../time/event_loop_lag.ts";
 import type { Timer } from "../time/timer.ts";
 import type { RoutePolicy, Service } from "../settings/site.ts";
 import { type AnswerSizes, createAnswerSizes } from "./answer_sizes.ts";
@@ -64,6 +65,7 @@
   /** A guard reported a newer configuration. */
   onNewerVersion: (version: number, peer: string) => void;
   timer: Timer;
+  lag: EventLoopLag;
   random: Random;
   metrics: Metrics;
   recorder: Recorder;
@@ -273,6 +275,7 @@
       return notRunReply("not_ready");
     }
     const { service, route: settings } = found;
+    const startedAt = call.arrivedAt ?? timer.now();
     return {
       call,
       route,
@@ -280,8 +283,8 @@
       service,
       tenant: tenantOf(call),
       fingerprint: fingerprintOf(call),
-      startedAt: timer.now(),
-      deadlineAt: timer.now() + timeoutOf(call, settings),
+      startedAt,
+      deadlineAt: startedAt + timeoutOf(call, settings),
     };
   }
 
@@ -374,7 +377,7 @@
   }
 
   async function handle(call: Call): Promise<Reply> {
-    const startedAt = timer.now();
+    const startedAt = call.arrivedAt ?? timer.now();
     inFlight++;
     let routed: RoutedCall | undefined;
     let reply: Reply;
--- a/src/metrics/event_loop.ts
+++ b/src/metrics/event_loop.ts
@@ -4,6 +4,11 @@
  * @module
  */
 import { monitorEventLoopDelay, PerformanceObserver } from "node:perf_hooks";
+import { createLimitedLog } from "../core/log_limit.ts";
+import type { Logger } from "../core/logger.ts";
+import type { EventLoopLag } from "../time/event_loop_lag.ts";
+import type { Timer } from "../time/timer.ts";
+import { createRecentMax } from "./recent_max.ts";
 import type { Metrics } from "./metrics.ts";
 
 const NANOSECONDS_PER_SECOND = 1e9;
@@ -11,9 +16,36 @@
 const MS_PER_SECOND = 1_000;
 const RESOLUTION_MS = 10;
 const P99 = 99;
+/** Time that the largest delay shown goes back at least, in milliseconds. */
+const MAX_WINDOW_MS = 10_000;
+/** Delay of the event loop from which on it is logged, in milliseconds. */
+const DELAYED_MS = 200;
+const DELAY_LINES_PER_S = 1;
+
+/** Logs each delay of the event loop that callers will have noticed. */
+export function logDelays(
+  { lag, logger, timer }: { lag: EventLoopLag; logger: Logger; timer: Timer },
+): void {
+  const log = createLimitedLog({
+    logger,
+    timer,
+    perSecond: DELAY_LINES_PER_S,
+  });
+  lag.onBeat((delayMs) => {
+    if (delayMs >= DELAYED_MS) {
+      log.info("process.delayed", { ms: Math.round(delayMs) });
+    }
+  });
+}
 
 /** Adds the process's own gauges to its metrics. */
-export function watchEventLoop(metrics: Metrics): void {
+export function watchEventLoop(metrics: Metrics, lag: EventLoopLag): void {
+  const largest = createRecentMax(MAX_WINDOW_MS);
+  lag.onBeat((delayMs) => largest.note(delayMs, performance.now()));
+  metrics.gauge(
+    "event_loop_delay_max_seconds",
+    () => largest.value(performance.now()) / MS_PER_SECOND,
+  );
   const delay = monitorEventLoopDelay({ resolution: RESOLUTION_MS });
   delay.enable();
   let pausedMs = 0;
--- a/src/network/channel.ts
+++ b/src/network/channel.ts
@@ -10,6 +10,13 @@
   readonly peer: string;
   /** Whether this end knows that the channel is closed. */
   readonly closed: boolean;
+  /** Whether a closing may lie behind the frame that was read last. */
+  readonly late?: boolean;
+  /**
+   * Longest time in milliseconds for which the frame that was read last lay
+   * unread while this process was held up.
+   */
+  readonly unreadMs?: number;
   /**
    * Sends a frame, and waits while the other end reads too slowly.
    * Rejects with `StepError` once the channel is closed.
--- a/src/network/tcp.ts
+++ b/src/network/tcp.ts
@@ -14,6 +14,7 @@
   splitAddress,
 } from "./channel.ts";
 import { type Frame, frameSchema } from "./frames.ts";
+import { type EventLoopLag, noLag } from "../time/event_loop_lag.ts";
 import { createInbox, MAX_UNREAD_FRAMES } from "./inbox.ts";
 
 const LENGTH_BYTES = 4;
@@ -37,9 +38,14 @@
 }
 
 /** Wraps a connected socket. */
-function createTcpChannel(socket: Socket, peer: string): Channel {
+function createTcpChannel(
+  socket: Socket,
+  { peer, lag }: { peer: string; lag: EventLoopLag },
+): Channel {
   const closing = createCanceller();
   let closed = false;
+  let late = false;
+  let unreadMs = 0;
   let pending: Buffer = Buffer.alloc(0);
   let drained: (() => void) | undefined;
   const inbox = createInbox(() => {
@@ -80,6 +86,8 @@
 
   socket.setNoDelay(true);
   socket.on("data", (chunk: Buffer) => {
+    late = lag.late;
+    unreadMs = lag.unreadMs;
     pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
     try {
       parse();
@@ -101,6 +109,12 @@
     get closed() {
       return closed;
     },
+    get late() {
+      return late;
+    },
+    get unreadMs() {
+      return unreadMs;
+    },
     async send(frame) {
       if (closed) {
         throw new StepError("channel.send", "channel is closed", { peer });
@@ -121,7 +135,10 @@
   };
 }
 
-function connect(address: string, timeoutMs: number): Promise<Channel> {
+function connect(
+  address: string,
+  { timeoutMs, lag }: { timeoutMs: number; lag: EventLoopLag },
+): Promise<Channel> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     const socket = connectSocket({ host, port });
@@ -139,19 +156,20 @@
     socket.once("connect", () => {
       socket.setTimeout(0);
       socket.off("error", fail);
-      resolve(createTcpChannel(socket, address));
+      resolve(createTcpChannel(socket, { peer: address, lag }));
     });
   });
 }
 
 function listen(
   address: string,
-  accept: (channel: Channel) => void,
+  { accept, lag }: { accept: (channel: Channel) => void; lag: EventLoopLag },
 ): Promise<Listener> {
   const { host, port } = splitAddress(address);
   const server = createServer((socket) => {
     const peer = `${socket.remoteAddress}:${socket.remotePort}`;
-    accept(createTcpChannel(socket, peer));
+    lag.noteAccepted();
+    accept(createTcpChannel(socket, { peer, lag }));
   });
   return new Promise((resolve, reject) => {
     server.once("error", (error) => {
@@ -178,5 +196,13 @@
   });
 }
 
-/** The network of a real process. */
-export const tcpNetwork: Network = { connect, listen };
+/** Creates the network of a process whose lag is known. */
+export function createTcpNetwork(lag: EventLoopLag): Network {
+  return {
+    connect: (address, timeoutMs) => connect(address, { timeoutMs, lag }),
+    listen: (address, accept) => listen(address, { accept, lag }),
+  };
+}
+
+/** The network of a process that takes no work from others. */
+export const tcpNetwork: Network = createTcpNetwork(noLag);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -26,6 +26,7 @@
 import type { Frame } from "../network/frames.ts";
 import { localFirst } from "../network/local.ts";
 import type { Rpc } from "../rpc/rpc.ts";
+import { type EventLoopLag, noLag } from "../time/event_loop_lag.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import { createControlClient } from "./control_client.ts";
 import { createDirectory, type Directory } from "./directory.ts";
@@ -49,6 +50,8 @@
   logger: Logger;
   supervisor: Supervisor;
   createBackend: BackendFactory;
+  /** Lag of the process; none by default. */
+  lag?: EventLoopLag;
   /** Name of the choosing policy. */
   policy?: string;
 }
@@ -109,6 +112,7 @@
 /** Creates the `node` role. */
 export function createNode(options: NodeOptions): Node {
   const { vm, domain, region, rpc, timer, random, logger } = options;
+  const { lag = noLag } = options;
   const supervisor = options.supervisor.child();
   const { signal } = supervisor;
   const incarnation = random.identifier();
@@ -198,6 +202,7 @@
     subscribe: sync.subscribe,
     onNewerVersion: sync.catchUp,
     timer,
+    lag,
     random,
     metrics,
     recorder,
@@ -210,6 +215,7 @@
     incarnation,
     directory,
     timer,
+    lag,
     logger,
     recorder,
     metrics,
--- a/src/process.ts
+++ b/src/process.ts
@@ -17,12 +17,16 @@
 import { createLocalApi } from "./http/local_api.ts";
 import { watchControl } from "./control/gauges.ts";
 import { createMetricsApi } from "./http/metrics_api.ts";
-import { watchEventLoop } from "./metrics/event_loop.ts";
+import { logDelays, watchEventLoop } from "./metrics/event_loop.ts";
 import { createMetrics } from "./metrics/metrics.ts";
-import { tcpNetwork } from "./network/tcp.ts";
+import { createTcpNetwork } from "./network/tcp.ts";
 import { createNode, type Node } from "./node/node.ts";
 import { createGrpcRpc } from "./rpc/grpc_rpc.ts";
 import type { ProcessSettings } from "./settings/process.ts";
+import {
+  createEventLoopLag,
+  type EventLoopLag,
+} from "./time/event_loop_lag.ts";
 import { createSystemTimer, type Timer, withTimeout } from "./time/timer.ts";
 
 /** A running process. */
@@ -47,6 +51,7 @@
   random: Random;
   logger: Logger;
   supervisor: Supervisor;
+  lag: EventLoopLag;
 }
 
 /** What a platform brings in place of, or beside, the product's own. */
@@ -98,14 +103,14 @@
 /** Serves what a replica says of itself as metrics. */
 async function startControlMetrics(
   address: string | undefined,
-  control: Control,
+  { control, lag }: { control: Control; lag: EventLoopLag },
 ): Promise<Attachment> {
   if (!address) {
     return NOTHING_ATTACHED;
   }
   const metrics = createMetrics();
   watchControl(metrics, control);
-  watchEventLoop(metrics);
+  watchEventLoop(metrics, lag);
   const api = createMetricsApi(metrics);
   await api.listen(address);
   return api;
@@ -132,7 +137,7 @@
   await control.start();
   const attachments = [
     await startAdmin(role, { control, parts }),
-    await startControlMetrics(role.metrics_address, control),
+    await startControlMetrics(role.metrics_address, { control, ...parts }),
     await platform.attachControl?.(control, parts) ?? NOTHING_ATTACHED,
   ];
   parts.logger.info("control.started", { rpc: role.rpc_address });
@@ -155,13 +160,13 @@
     peerAddress: role.peer_address,
     service: platform.service,
     controlAddresses: settings.control_addresses,
-    network: tcpNetwork,
+    network: createTcpNetwork(parts.lag),
     rpc: createGrpcRpc(),
     createBackend: platform.createBackend ?? createHttpBackend,
     ...parts,
   });
   await node.start();
-  watchEventLoop(node.metrics);
+  watchEventLoop(node.metrics, parts.lag);
   const front = createCallerFront({
     node,
     dialect: platform.callerDialect,
@@ -227,12 +232,14 @@
     timer,
     random: options.random ?? createSystemRandom(),
     logger,
+    lag: createEventLoopLag(),
     supervisor: createSupervisor({
       timer,
       report: (task, error) =>
         logger.error("task.failed", { task, ...errorFields(error) }),
     }),
   };
+  logDelays(parts);
   await hashReady;
   const controlRole = await startControl(settings, { parts, platform });
   const nodeRole = await startNode(settings, { parts, platform });
@@ -247,6 +254,7 @@
         await stopControl(controlRole, parts);
       }
       await parts.supervisor.stop();
+      parts.lag.stop();
     },
   };
 }
