Open the circle of imports between replica and leadership

leadership.ts imported ReplicaTuning from replica.ts, which imports leadership.ts. The times and sizes now stand in tuning.ts, below both. No logic changes.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -29,8 +29,9 @@
   statusMethod,
   syncMethod,
 } from "./node_methods.ts";
-import { createReplica, type Replica, type ReplicaTuning } from "./replica.ts";
+import { createReplica, type Replica } from "./replica.ts";
 import { type ControlState, createControlState } from "./state.ts";
+import type { ReplicaTuning } from "./tuning.ts";
 
 const RENEWAL_BATCH_MS = 500;
 const LEASE_CHECK_MS = 500;
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -16,7 +16,7 @@
   snapshotMethod,
 } from "./methods.ts";
 import type { ReplicaLog } from "./replica_log.ts";
-import type { ReplicaTuning } from "./replica.ts";
+import type { ReplicaTuning } from "./tuning.ts";
 
 /** Silence after which a voter may lose its vote, in milliseconds. */
 const SILENT_VOTER_MS = 6_000;
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -39,29 +39,7 @@
 import { createReplicaLog, type ReplicaLog } from "./replica_log.ts";
 import { enterCluster } from "./entrance.ts";
 import { createSnapshotParts } from "./snapshot_parts.ts";
-
-/** Times and sizes of a replica. */
-export interface ReplicaTuning {
-  /** Shortest silence of a leader before an election, in milliseconds. */
-  electionMs: number;
-  /** Interval of a leader's heartbeats in milliseconds. */
-  heartbeatMs: number;
-  /** Longest wait for one call to a peer in milliseconds. */
-  callMs: number;
-  /** Entries applied between two snapshots. */
-  snapshotEvery: number;
-  /** Largest part of a snapshot sent at once, in bytes. */
-  snapshotPartBytes: number;
-}
-
-/** Tuning that fits replicas some milliseconds apart. */
-export const DEFAULT_TUNING: ReplicaTuning = {
-  electionMs: 600,
-  heartbeatMs: 100,
-  callMs: 500,
-  snapshotEvery: 4_096,
-  snapshotPartBytes: 1 << 20,
-};
+import { DEFAULT_TUNING, type ReplicaTuning } from "./tuning.ts";
 
 /** What a replica does at present. */
 export type Role =
--- a/tests/control/lab.ts
+++ b/tests/control/lab.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ChangeResult } from "../../src/control/commands.ts";
-import type { ReplicaTuning } from "../../src/control/replica.ts";
+import type { ReplicaTuning } from "../../src/control/tuning.ts";
 import { createSeededRandom, type Random } from "../../src/core/random.ts";
 import {
   createFakeRpcNetwork,
--- a/tests/scenario/cluster.ts
+++ b/tests/scenario/cluster.ts
@@ -4,7 +4,7 @@
  */
 import type { Action, ChangeResult } from "../../src/control/commands.ts";
 import { type Control, createControl } from "../../src/control/control.ts";
-import type { ReplicaTuning } from "../../src/control/replica.ts";
+import type { ReplicaTuning } from "../../src/control/tuning.ts";
 import { type LogValue, silentLogger } from "../../src/core/logger.ts";
 import { createSeededRandom, type Random } from "../../src/core/random.ts";
 import { createSupervisor, type Supervisor } from "../../src/core/tasks.ts";
