Give a leader's replication, reads, handover and membership files of their own

leadership.ts (470 lines) held the tasks towards the peers, the reads that a quorum confirms, the handover and the decisions on membership. Now: - replication.ts: one task a peer; owns how far each has come - quorum_reads.ts: reads confirmed by a quorum - handover.ts: leadership handed over before a stop - membership_changes.ts: which single step is due (decisions only) - quorum.ts: how many decide (stood in election.ts and leadership.ts) - durable_marks.ts: what each replica had made durable leadership.ts (230 lines) wires them and commits.

--- a/src/control/election.ts
+++ b/src/control/election.ts
@@ -4,6 +4,7 @@
  */
 import type { Rpc } from "../rpc/rpc.ts";
 import { voteMethod } from "./methods.ts";
+import { quorumOf } from "./quorum.ts";
 import type { ReplicaLog } from "./replica_log.ts";
 
 /** A candidacy, or only the question whether it would be welcome. */
@@ -32,7 +33,7 @@
 ): Promise<Tally> {
   const { log, rpc, timeoutMs } = options;
   const { voters } = log.membership;
-  const needed = Math.floor(voters.length / 2) + 1;
+  const needed = quorumOf(voters.length);
   const others = voters.filter((one) => one.identity !== candidacy.candidate);
   let granted = 1;
   let newestTerm = 0;
--- /dev/null
+++ b/src/control/fake_log.ts
@@ -0,0 +1,49 @@
+/**
+ * A replica's log on a disk in memory, for tests.
+ * @module
+ */
+import { hashReady } from "../core/hash.ts";
+import { createFakeDisk } from "../disk/fake_disk.ts";
+import { createLogStore, type Membership } from "./log_store.ts";
+import type { Machine } from "./machine.ts";
+import { createReplicaLog, type ReplicaLog } from "./replica_log.ts";
+
+// Hashes are used from the first record on.
+await hashReady;
+
+/** A machine without state. */
+export const nullMachine: Machine = {
+  apply: () => undefined,
+  snapshot: () => new Uint8Array([1, 2, 3, 4]),
+  reset: () => {},
+  restore: () => {},
+};
+
+/** A listener that nothing is told to. */
+export const NO_LISTENER = {
+  durable: () => {},
+  applied: () => {},
+  failed: () => {},
+};
+
+/** Opens a log on an empty disk, with a first entry if there is a membership. */
+export async function openFakeLog(options: {
+  machine?: Machine;
+  membership?: Membership;
+  snapshotEvery?: number;
+} = {}): Promise<ReplicaLog> {
+  const { machine = nullMachine, membership, snapshotEvery = 100 } = options;
+  const store = createLogStore(createFakeDisk());
+  const log = createReplicaLog({
+    store,
+    machine,
+    recovered: await store.recover(),
+    snapshotEvery,
+    listener: NO_LISTENER,
+  });
+  if (membership) {
+    await log.accept([{ index: 1, term: 0, logTime: 0, membership }]);
+    log.commitTo(1);
+  }
+  return log;
+}
--- /dev/null
+++ b/src/control/handover_test.ts
@@ -0,0 +1,57 @@
+import { test } from "tap";
+import { silentLogger } from "../core/logger.ts";
+import { createBell } from "../core/tasks.ts";
+import { createFakeRpcNetwork } from "../rpc/fake_rpc.ts";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import { openFakeLog } from "./fake_log.ts";
+import { fakeReplica } from "./fake_replica.ts";
+import { handOverTo } from "./handover.ts";
+import { handoverMethod } from "./methods.ts";
+import { DEFAULT_TUNING } from "./tuning.ts";
+
+const [a, b] = [fakeReplica("a"), fakeReplica("b")];
+
+async function build() {
+  const timer = createFakeTimer();
+  const network = createFakeRpcNetwork(timer, 1);
+  const toldAt: number[] = [];
+  const peer = network.from(b.address);
+  peer.handle(handoverMethod, () => {
+    toldAt.push(timer.now());
+    return Promise.resolve({ started: true });
+  });
+  await peer.listen(b.address);
+  const matched = { index: 0 };
+  const answered = createBell(timer);
+  const options = {
+    term: 1,
+    log: await openFakeLog({ membership: { voters: [a, b], learners: [] } }),
+    rpc: network.from(a.address),
+    timer,
+    logger: silentLogger,
+    signal: new AbortController().signal,
+    tuning: DEFAULT_TUNING,
+    answered,
+    wake: () => {},
+    matchedBy: () => matched.index,
+  };
+  return { timer, toldAt, matched, answered, options };
+}
+
+test("a follower stands for election once it holds everything", async (t) => {
+  const { timer, toldAt, matched, answered, options } = await build();
+  void handOverTo(b, options);
+  await timer.advance(50);
+  t.same(toldAt, []);
+  matched.index = 1;
+  answered.ring();
+  await timer.advance(2);
+  t.same(toldAt, [51]);
+});
+
+test("a follower that stays behind is told after an election timeout", async (t) => {
+  const { timer, toldAt, options } = await build();
+  void handOverTo(b, options);
+  await timer.advance(DEFAULT_TUNING.electionMs + 2);
+  t.same(toldAt, [DEFAULT_TUNING.electionMs + 1]);
+});
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -11,6 +11,7 @@
 import type { Disk } from "../disk/disk.ts";
 import type { Rpc } from "../rpc/rpc.ts";
 import { sleep, type Timer } from "../time/timer.ts";
+import { createDurableMarks } from "./durable_marks.ts";
 import { collectVotes } from "./election.ts";
 import { createLeadership, type Leadership } from "./leadership.ts";
 import {
@@ -27,7 +28,6 @@
   handoverMethod,
   helloMethod,
   joinMethod,
-  type Mark,
   snapshotMethod,
   voteMethod,
 } from "./methods.ts";
@@ -131,7 +131,7 @@
   const serial = createSerial();
   const proposals = createProposals();
   const snapshotParts = createSnapshotParts();
-  const marks = new Map<string, Mark>();
+  const marks = createDurableMarks();
   const met = new Set<string>();
 
   let log: ReplicaLog;
@@ -284,7 +284,7 @@
         }
         await adoptTerm(request.term);
         follow(request.leader);
-        request.marks.forEach((mark) => marks.set(mark.identity, mark));
+        marks.take(request.marks);
         const { previousIndex, previousTerm, entries } = request;
         const covered = log.snapshot?.index ?? 0;
         const matches = previousIndex < covered ||
@@ -329,12 +329,9 @@
   function handleEntrance(): void {
     rpc.handle(helloMethod, (request) => {
       const formed = vote.term > 0 || (log?.lastIndex ?? 0) > 1;
-      const mark = marks.get(request.identity);
-      const rolledBack = mark !== undefined &&
-        (request.lastIndex < mark.index || request.term < mark.term);
       return Promise.resolve({
         formed,
-        rolledBack,
+        rolledBack: marks.isRolledBack(request),
         members: log?.membership ?? NO_MEMBERS,
       });
     });
--- a/src/control/replica_log_test.ts
+++ b/src/control/replica_log_test.ts
@@ -1,27 +1,10 @@
 import { test } from "tap";
 import { createFakeDisk } from "../disk/fake_disk.ts";
+import { NO_LISTENER, openFakeLog } from "./fake_log.ts";
+import { fakeMember } from "./fake_member.ts";
 import { createLogStore } from "./log_store.ts";
-import { createReplicaLog, type ReplicaLog } from "./replica_log.ts";
+import { createReplicaLog } from "./replica_log.ts";
 import { createControlState } from "./state.ts";
-import { hashReady } from "../core/hash.ts";
-
-// Hashes are used from the first record on.
-await hashReady;
-
-const LISTENER = { durable: () => {}, applied: () => {}, failed: () => {} };
-
-async function openLog(
-  state = createControlState(),
-): Promise<ReplicaLog> {
-  const store = createLogStore(createFakeDisk());
-  return createReplicaLog({
-    store,
-    machine: state,
-    recovered: await store.recover(),
-    snapshotEvery: 100,
-    listener: LISTENER,
-  });
-}
 
 function entry(index: number, term = 1) {
   return { index, term, logTime: 0 };
@@ -35,20 +18,10 @@
     command: {
       kind: "register",
       expectedRevision: 0,
-      member: {
-        server: "vm1",
-        service: "work",
-        domain: "east",
-        region: "r",
-        address: "vm1:1",
-        incarnation: "i",
-        boot: "b",
-        slots: 1,
-        leaving: false,
-      },
+      member: fakeMember("vm1"),
     },
   });
-  await openLog(state);
+  await openFakeLog({ machine: state });
   t.same(state.members(), []);
 });
 
@@ -61,24 +34,14 @@
     machine: state,
     recovered: await store.recover(),
     snapshotEvery: 1_000,
-    listener: LISTENER,
+    listener: NO_LISTENER,
   });
   const document = "x".repeat(20_000);
   for (let index = 1; index <= 40; index++) {
     const command = {
       kind: "register",
       expectedRevision: 0,
-      member: {
-        server: "vm1",
-        service: document,
-        domain: "east",
-        region: "r",
-        address: "vm1:1",
-        incarnation: "i",
-        boot: "b",
-        slots: 1,
-        leaving: false,
-      },
+      member: { ...fakeMember("vm1"), service: document },
     };
     await log.accept([{ ...entry(index), command }]);
     log.commitTo(index);
@@ -90,13 +53,13 @@
 });
 
 test("entries after a gap are refused", async (t) => {
-  const log = await openLog();
+  const log = await openFakeLog();
   await log.accept([entry(1), entry(2), entry(3)]);
   await t.rejects(log.accept([entry(5)]), /leaves a gap/);
 });
 
 test("an uncommitted conflict is overwritten, a committed one is not", async (t) => {
-  const log = await openLog();
+  const log = await openFakeLog();
   await log.accept([entry(1), entry(2), entry(3)]);
   log.commitTo(2);
   await log.accept([entry(3, 2), entry(4, 2)]);
