--- a/src/control/log_store.ts
+++ b/src/control/log_store.ts
@@ -39,6 +39,9 @@
 /** Who votes, and who only receives the log. */
 export type Membership = z.infer<typeof membershipSchema>;
 
+/** The membership before the first one is known. */
+export const NO_MEMBERS: Membership = { voters: [], learners: [] };
+
 /** One entry of the log. */
 export const entrySchema = z.object({
   index: z.number(),
--- a/src/control/replica_log.ts
+++ b/src/control/replica_log.ts
@@ -5,17 +5,17 @@
  */
 import { StepError } from "../core/errors.ts";
 import { createSerial } from "../core/tasks.ts";
-import type {
-  Entry,
-  LogStore,
-  Membership,
-  Recovered,
-  Snapshot,
+import {
+  type Entry,
+  type LogStore,
+  type Membership,
+  NO_MEMBERS,
+  type Recovered,
+  type Snapshot,
 } from "./log_store.ts";
 import type { Machine } from "./machine.ts";
 
 const MAX_BATCH_ENTRIES = 256;
-const EMPTY_MEMBERSHIP: Membership = { voters: [], learners: [] };
 
 /** Called when something about the log has changed. */
 export interface LogListener {
@@ -93,7 +93,7 @@
   let durableIndex = lastIndex();
   let commitIndex = snapshot?.index ?? 0;
   let appliedIndex = commitIndex;
-  let membership = EMPTY_MEMBERSHIP;
+  let membership = NO_MEMBERS;
   let membershipIndex = 0;
   let flushing = false;
   let snapshotting = false;
@@ -136,7 +136,7 @@
         return [entry.membership, entry.index];
       }
     }
-    return [snapshot?.membership ?? EMPTY_MEMBERSHIP, snapshot?.index ?? 0];
+    return [snapshot?.membership ?? NO_MEMBERS, snapshot?.index ?? 0];
   }
 
   function refreshMembership(): void {
