--- /dev/null
+++ b/src/control/change_results_test.ts
@@ -0,0 +1,54 @@
+import { test } from "tap";
+import { hashReady } from "../core/hash.ts";
+import { createChangeResults, MAX_CHANGE_RESULTS } from "./change_results.ts";
+import type { ChangeResult } from "./commands.ts";
+import { fakeChange } from "./fake_change.ts";
+
+// Hashes are used from the first record on.
+await hashReady;
+
+function accepted(version: number): () => ChangeResult {
+  return () => ({ kind: "accepted", version });
+}
+
+function mustNotDecide(): ChangeResult {
+  throw new Error("decided twice");
+}
+
+test("a resend gets the first result, from a snapshot too", (t) => {
+  const results = createChangeResults([]);
+  results.once(fakeChange(), { version: 1, decide: accepted(2) });
+  const restored = createChangeResults(results.entries());
+  for (const book of [results, restored]) {
+    const again = book.once(fakeChange({ wallTime: 9 }), {
+      version: 5,
+      decide: mustNotDecide,
+    });
+    t.same(again, { kind: "accepted", version: 2 });
+  }
+  t.end();
+});
+
+test("a change id that was used for another change is refused", (t) => {
+  const results = createChangeResults([]);
+  results.once(fakeChange(), { version: 1, decide: accepted(2) });
+  const other = results.once(fakeChange({ force: true }), {
+    version: 5,
+    decide: mustNotDecide,
+  });
+  t.match(other, { kind: "refused", version: 5, reason: "change_id_reused" });
+  t.match(results.get("one"), { kind: "accepted" });
+  t.end();
+});
+
+test("the oldest results go first", (t) => {
+  const results = createChangeResults([]);
+  for (let count = 0; count <= MAX_CHANGE_RESULTS; count++) {
+    const change = fakeChange({ changeId: `change${count}` });
+    results.once(change, { version: count, decide: accepted(count + 1) });
+  }
+  t.equal(results.entries().length, MAX_CHANGE_RESULTS);
+  t.equal(results.get("change0"), undefined);
+  t.match(results.get("change1"), { version: 2 });
+  t.end();
+});
--- /dev/null
+++ b/src/control/members_test.ts
@@ -0,0 +1,55 @@
+import { test } from "tap";
+import { fakeMember } from "./fake_member.ts";
+import { createMemberBook } from "./members.ts";
+import { createRevisions } from "./revisions.ts";
+
+function build() {
+  const revisions = createRevisions({
+    revision: 0,
+    globalRevision: 0,
+    routesRevision: 0,
+    serviceRevisions: [],
+  });
+  return { revisions, members: createMemberBook([], revisions) };
+}
+
+test("another incarnation registers only over the revision it knows", (t) => {
+  const { members } = build();
+  const first = fakeMember("vm1");
+  members.register(first, { expectedRevision: 0, index: 5 });
+  const second = { ...first, incarnation: "two" };
+  t.same(members.register(second, { expectedRevision: 0, index: 6 }), {
+    kind: "superseded",
+    revision: 5,
+    incarnation: "one",
+  });
+  t.match(members.register(second, { expectedRevision: 5, index: 7 }), {
+    kind: "registered",
+    revision: 7,
+  });
+  t.equal(members.all.get("vm1")?.incarnation, "two");
+  t.end();
+});
+
+test("a member that changes its service changes both views", (t) => {
+  const { members, revisions } = build();
+  members.register(fakeMember("vm1"), { expectedRevision: 0, index: 5 });
+  const moved = { ...fakeMember("vm1"), service: "other" };
+  members.register(moved, { expectedRevision: 0, index: 6 });
+  t.equal(revisions.service("work"), 6);
+  t.equal(revisions.service("other"), 6);
+  t.equal(revisions.latest, 6);
+  t.end();
+});
+
+test("a late expiry of an earlier incarnation removes nobody", (t) => {
+  const { members, revisions } = build();
+  members.register(fakeMember("vm1"), { expectedRevision: 0, index: 5 });
+  const earlier = { server: "vm1", incarnation: "zero" };
+  t.notOk(members.expire(earlier, 6));
+  t.equal(revisions.latest, 5);
+  t.ok(members.expire({ server: "vm1", incarnation: "one" }, 7));
+  t.equal(members.all.size, 0);
+  t.equal(revisions.service("work"), 7);
+  t.end();
+});
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import { Packr } from "msgpackr";
-import { hashText } from "../core/hash.ts";
-import type { Service, Site } from "../settings/site.ts";
+import type { Site } from "../settings/site.ts";
 import { brokenRule } from "./change_rules.ts";
+import { type ChangeRecord, createChangeResults } from "./change_results.ts";
 import { createClaimBook, type StoredClaim } from "./claims.ts";
 import {
   type AcceptedChange,
@@ -18,53 +18,33 @@
   commandSchema,
   type Difference,
   type Member,
-  type RegisterResult,
 } from "./commands.ts";
-import { differencesBetween } from "./differences.ts";
+import {
+  createConfiguration,
+  type StoredConfiguration,
+} from "./configuration.ts";
+import { createHistory, type StoredHistory } from "./history.ts";
 import type { AppliedEntry, Machine } from "./machine.ts";
-import type { GlobalView, RouteTable, ServiceView, View } from "./view.ts";
-
-/** Results of changes that are kept for resends with the same change id. */
-export const MAX_CHANGE_RESULTS = 10_000;
-/** Accepted changes kept in history. */
-export const MAX_HISTORY = 10_000;
-
-interface StoredMember extends Member {
-  revision: number;
-}
-
-interface ChangeRecord {
-  /** Hash of what was asked for. */
-  content: string;
-  result: ChangeResult;
-}
-
-interface Stored {
-  version: number;
-  number: number;
-  document: string;
-  revision: number;
+import { createMemberBook, type StoredMember } from "./members.ts";
+import { createRevisions, type StoredRevisions } from "./revisions.ts";
+import type { View } from "./view.ts";
+import { type KnownRevisions, viewSince } from "./view_since.ts";
+import { createWithdrawals, type StoredWithdrawals } from "./withdrawals.ts";
+
+export type { KnownRevisions } from "./view_since.ts";
+
+/** The state as a snapshot keeps it. */
+interface Stored
+  extends
+    StoredHistory,
+    StoredConfiguration,
+    StoredRevisions,
+    StoredWithdrawals {
+  /** Log time of the last entry in milliseconds. */
   logTime: number;
-  globalRevision: number;
-  routesRevision: number;
-  site?: Site;
-  domainsOut: string[];
-  serversOut: string[];
   members: [string, StoredMember][];
-  serviceRevisions: [string, number][];
   claims: [string, StoredClaim][];
   results: [string, ChangeRecord][];
-  history: AcceptedChange[];
-}
-
-/** Revisions that a node already holds. */
-export interface KnownRevisions {
-  /** Revision of the global part, 0 for none. */
-  global: number;
-  /** Revision of the route table, 0 for none. */
-  routes: number;
-  /** Revision of each subscribed service, 0 for none. */
-  services: Record<string, number>;
 }
 
 /** Control's state and the questions that can be asked of it. */
@@ -120,348 +100,142 @@
   };
 }
 
-function targetOf(action: Action): string {
-  switch (action.kind) {
-    case "configure":
-      return action.site.name;
-    case "domain_out":
-    case "domain_back":
-      return action.domain;
-    case "server_out":
-    case "server_back":
-      return action.server;
-  }
-}
-
-/** Returns the site's own routes, found by prefix. */
-function prefixesOf(site: Site): RouteTable["prefixes"] {
-  return Object.entries(site.routes).map(([name, route]) => ({
-    name,
-    ...route,
-  }));
-}
-
-/** Returns the routes of all services of a site. */
-function routesOf(site: Site): RouteTable["routes"] {
-  return Object.entries(site.services).flatMap(([service, settings]) =>
-    Object.entries(settings.routes).map(([name, route]) => ({
-      service,
-      name,
-      method: route.method,
-      path: route.path,
-    }))
-  );
-}
-
-function tableOf(site: Site): Omit<RouteTable, "revision"> {
-  return { prefixes: prefixesOf(site), routes: routesOf(site) };
-}
-
-/** Drops the oldest keys of a map down to a bound. */
-function trim<K, V>(map: Map<K, V>, bound: number): void {
-  for (const key of map.keys()) {
-    if (map.size <= bound) {
-      return;
-    }
-    map.delete(key);
-  }
+/** The parts of the state, each of which owns what it stores. */
+function createBooks(stored: Stored) {
+  const revisions = createRevisions(stored);
+  return {
+    revisions,
+    configuration: createConfiguration(stored, revisions),
+    withdrawals: createWithdrawals(stored),
+    members: createMemberBook(stored.members, revisions),
+    claims: createClaimBook(stored.claims),
+    results: createChangeResults(stored.results),
+    history: createHistory(stored),
+  };
 }
 
 /** Creates an empty state. */
 export function createControlState(): ControlState {
-  let stored = emptyState();
-  let domainsOut = new Set<string>();
-  let serversOut = new Set<string>();
-  let members = new Map<string, StoredMember>();
-  let serviceRevisions = new Map<string, number>();
-  let claims = createClaimBook();
-  let results = new Map<string, ChangeRecord>();
+  let books = createBooks(emptyState());
+  let logTime = 0;
 
   function load(next: Stored): void {
-    stored = next;
-    domainsOut = new Set(stored.domainsOut);
-    serversOut = new Set(stored.serversOut);
-    members = new Map(stored.members);
-    serviceRevisions = new Map(stored.serviceRevisions);
-    claims = createClaimBook(stored.claims);
-    results = new Map(stored.results);
+    books = createBooks(next);
+    logTime = next.logTime;
   }
 
-  function refusal(change: Change): ChangeResult | undefined {
-    const site = stored.site;
-    const { number } = stored;
-    const facts = { site, members, domainsOut, serversOut, number };
-    const broken = brokenRule(change, facts);
-    return broken && { kind: "refused", version: stored.version, ...broken };
-  }
-
-  function configure(site: Site, index: number): Difference[] {
-    const differences = differencesBetween(stored.site ?? {}, site);
-    const before = stored.site?.services ?? {};
-    const names = new Set([
-      ...Object.keys(before),
-      ...Object.keys(site.services),
-    ]);
-    for (const name of names) {
-      const changed = differencesBetween(before[name], site.services[name]);
-      if (changed.length > 0) {
-        serviceRevisions.set(name, index);
-      }
-    }
-    const routesBefore = stored.site ? tableOf(stored.site) : undefined;
-    if (differencesBetween(routesBefore, tableOf(site)).length > 0) {
-      stored.routesRevision = index;
-    }
-    stored.site = site;
-    return differences;
+  function store(): Stored {
+    const { configuration, withdrawals, revisions, history } = books;
+    return {
+      version: history.version,
+      number: history.number,
+      ...configuration.stored(),
+      ...revisions.stored(),
+      logTime,
+      ...withdrawals.stored(),
+      members: books.members.entries(),
+      claims: books.claims.entries(),
+      results: books.results.entries(),
+      history: history.changes,
+    };
   }
 
-  function setOut(
-    set: Set<string>,
-    options: { name: string; key: string; out: boolean },
-  ): Difference[] {
-    const { name, key, out } = options;
-    const before = set.has(name);
-    if (out) {
-      set.add(name);
-    } else {
-      set.delete(name);
-    }
-    return [{ key: `${key}.${name}.out`, before, after: out }];
+  function refusal(change: Change): ChangeResult | undefined {
+    const { configuration, members, withdrawals, history } = books;
+    const broken = brokenRule(change, {
+      site: configuration.site,
+      members: members.all,
+      domainsOut: withdrawals.domains,
+      serversOut: withdrawals.servers,
+      number: history.number,
+    });
+    return broken && { kind: "refused", version: history.version, ...broken };
   }
 
   function perform(action: Action, index: number): Difference[] {
-    switch (action.kind) {
-      case "configure":
-        stored.document = action.document ?? "";
-        return configure(action.site, index);
-      case "domain_out":
-      case "domain_back":
-        return setOut(domainsOut, {
-          name: action.domain,
-          key: "domains",
-          out: action.kind === "domain_out",
-        });
-      case "server_out":
-      case "server_back":
-        return setOut(serversOut, {
-          name: action.server,
-          key: "servers",
-          out: action.kind === "server_out",
-        });
-    }
+    return action.kind === "configure"
+      ? books.configuration.configure(action, index)
+      : books.withdrawals.perform(action);
   }
 
   function accept(change: Change, index: number): ChangeResult {
     const differences = perform(change.action, index);
-    stored.version++;
-    stored.number = change.numbering?.to ?? stored.number;
-    stored.revision = index;
-    stored.globalRevision = index;
-    stored.history.push({
-      version: stored.version,
-      changeId: change.changeId,
-      operator: change.operator,
-      wallTime: change.wallTime,
-      action: change.action.kind,
-      target: targetOf(change.action),
-      forced: change.force,
-      differences,
-    });
-    if (stored.history.length > MAX_HISTORY) {
-      stored.history.shift();
-    }
-    return { kind: "accepted", version: stored.version };
-  }
-
-  /** Whether a change was made on top of another state than this one. */
-  function conflicts({ against, numbering }: Change): boolean {
-    return (against !== undefined && against !== stored.version) ||
-      (numbering !== undefined && numbering.after !== stored.number);
-  }
-
-  function conflict({ against }: Change): ChangeResult {
-    return {
-      kind: "conflict",
-      version: stored.version,
-      winner: against === undefined
-        ? undefined
-        : stored.history.find((entry) => entry.version === against + 1),
-    };
+    books.revisions.touchGlobal(index);
+    return books.history.accept(change, differences);
   }
 
   function applyChange(change: Change, index: number): ChangeResult {
-    const content = hashText(JSON.stringify([
-      change.operator,
-      change.against,
-      change.numbering,
-      change.force,
-      change.action,
-    ]));
-    const earlier = results.get(change.changeId);
-    if (earlier) {
-      return earlier.content === content ? earlier.result : {
-        kind: "refused",
-        version: stored.version,
-        reason: "change_id_reused",
-        detail: `change id ${change.changeId} was used for another change`,
-      };
-    }
-    const result: ChangeResult = conflicts(change)
-      ? conflict(change)
-      : refusal(change) ?? accept(change, index);
-    results.set(change.changeId, { content, result });
-    trim(results, MAX_CHANGE_RESULTS);
-    return result;
-  }
-
-  function register(
-    member: Member,
-    options: { expectedRevision: number; index: number },
-  ): RegisterResult {
-    const { expectedRevision, index } = options;
-    const current = members.get(member.server);
-    const sameGuard = current?.incarnation === member.incarnation;
-    if (current && !sameGuard && current.revision !== expectedRevision) {
-      return {
-        kind: "superseded",
-        revision: current.revision,
-        incarnation: current.incarnation,
-      };
-    }
-    if (current && current.service !== member.service) {
-      serviceRevisions.set(current.service, index);
-    }
-    members.set(member.server, { ...member, revision: index });
-    serviceRevisions.set(member.service, index);
-    stored.revision = index;
-    return { kind: "registered", revision: index };
-  }
-
-  function expire(
-    command: { server: string; incarnation: string },
-    index: number,
-  ): boolean {
-    const current = members.get(command.server);
-    if (current?.incarnation !== command.incarnation) {
-      return false;
-    }
-    members.delete(command.server);
-    serviceRevisions.set(current.service, index);
-    stored.revision = index;
-    return true;
+    const { results, history } = books;
+    return results.once(change, {
+      version: history.version,
+      decide: () =>
+        history.conflict(change) ?? refusal(change) ?? accept(change, index),
+    });
   }
 
   function execute(command: Command, entry: AppliedEntry): unknown {
-    const { index, logTime } = entry;
-    const bounds = stored.site?.claims;
+    const { index } = entry;
+    const { members, claims, configuration } = books;
     switch (command.kind) {
       case "change":
         return applyChange(command, index);
-      case "register":
-        return register(command.member, {
-          expectedRevision: command.expectedRevision,
-          index,
-        });
+      case "register": {
+        const { member, expectedRevision } = command;
+        return members.register(member, { expectedRevision, index });
+      }
       case "expire":
-        return expire(command, index);
-      case "claim":
+        return members.expire(command, index);
+      case "claim": {
+        const bounds = configuration.site?.claims;
         return claims.claim(command, {
           index,
-          logTime,
+          logTime: entry.logTime,
           keepMs: bounds?.keep_ms ?? 0,
           maxClaims: bounds?.max_claims ?? 0,
         });
+      }
       case "settle":
         return claims.settle(command.key, command.claim, command.outcome);
     }
   }
 
-  function globalView(site: Site): GlobalView {
-    const { services: _services, routes: _routes, ...limits } = site;
-    return {
-      revision: stored.globalRevision,
-      version: stored.version,
-      limits,
-      domainsOut: [...domainsOut].sort(),
-      serversOut: [...serversOut].sort(),
-    };
-  }
-
-  function serviceView(service: string): ServiceView {
-    const settings: Service | undefined = stored.site?.services[service];
-    return {
-      service,
-      revision: serviceRevisions.get(service) ?? 0,
-      settings,
-      members: [...members.values()]
-        .filter((member) => member.service === service)
-        .map(({ revision: _revision, backend: _backend, ...member }) => member),
-    };
-  }
-
   return {
     get version() {
-      return stored.version;
+      return books.history.version;
     },
     get number() {
-      return stored.number;
+      return books.history.number;
     },
     get document() {
-      return stored.document;
+      return books.configuration.document;
     },
     get revision() {
-      return stored.revision;
+      return books.revisions.latest;
     },
     get site() {
-      return stored.site;
+      return books.configuration.site;
     },
     get domainsOut() {
-      return domainsOut;
+      return books.withdrawals.domains;
     },
     get serversOut() {
-      return serversOut;
+      return books.withdrawals.servers;
     },
     members: () =>
-      [...members.values()].map(({ revision: _revision, ...member }) => member),
-    member: (server) => members.get(server),
-    resultOf: (changeId) => results.get(changeId)?.result,
-    history: () => stored.history,
-    claimCount: () => claims.size,
-    claim: (key) => claims.get(key),
-    viewSince(known) {
-      const site = stored.site;
-      const view: View = { services: [] };
-      if (site && stored.globalRevision > known.global) {
-        view.global = globalView(site);
-      }
-      if (site && stored.routesRevision > known.routes) {
-        view.routeTable = {
-          revision: stored.routesRevision,
-          ...tableOf(site),
-        };
-      }
-      for (const [service, revision] of Object.entries(known.services)) {
-        if ((serviceRevisions.get(service) ?? 0) > revision) {
-          view.services.push(serviceView(service));
-        }
-      }
-      return view;
-    },
+      [...books.members.all.values()]
+        .map(({ revision: _revision, ...member }) => member),
+    member: (server) => books.members.all.get(server),
+    resultOf: (changeId) => books.results.get(changeId),
+    history: () => books.history.changes,
+    claimCount: () => books.claims.size,
+    claim: (key) => books.claims.get(key),
+    viewSince: (known) =>
+      viewSince(known, { ...books, site: books.configuration.site }),
     apply(entry) {
-      stored.logTime = entry.logTime;
+      logTime = entry.logTime;
       return execute(commandSchema.parse(entry.command), entry);
     },
-    snapshot: () =>
-      packr.pack({
-        ...stored,
-        domainsOut: [...domainsOut],
-        serversOut: [...serversOut],
-        members: [...members],
-        serviceRevisions: [...serviceRevisions],
-        claims: claims.entries(),
-        results: [...results],
-      }),
+    snapshot: () => packr.pack(store()),
     reset: () => load(emptyState()),
     restore: (bytes) => load(packr.unpack(bytes) as Stored),
   };
--- /dev/null
+++ b/src/control/state_test.ts
@@ -0,0 +1,131 @@
+import { test } from "tap";
+import { hashReady } from "../core/hash.ts";
+import { type Site, siteSchema } from "../settings/site.ts";
+import type { Command } from "./commands.ts";
+import { fakeChange } from "./fake_change.ts";
+import { fakeMember } from "./fake_member.ts";
+import { type ControlState, createControlState } from "./state.ts";
+
+// Hashes are used from the first record on.
+await hashReady;
+
+const NOTHING = { global: 0, routes: 0, services: { work: 0, other: 0 } };
+
+function service(slots: number) {
+  return {
+    team: "work",
+    slots,
+    routes: { look: { path: "/look/:id", class: "look", repeatable: true } },
+  };
+}
+
+function site(slots: number, otherSlots = 1): Site {
+  return siteSchema.parse({
+    name: "lab",
+    domains: ["east", "west"],
+    services: { work: service(slots), other: service(otherSlots) },
+  });
+}
+
+function build() {
+  const state = createControlState();
+  let index = 0;
+  function apply(command: Command): unknown {
+    return state.apply({ index: ++index, logTime: index, command });
+  }
+  function configure(next: Site): unknown {
+    const action = { kind: "configure", site: next, document: "text" } as const;
+    return apply(fakeChange({ changeId: `change${index}`, action }));
+  }
+  return { state, apply, configure };
+}
+
+/** Everything that can be asked of a state. */
+function seen(state: ControlState): unknown {
+  const { version, number, document, revision, site, domainsOut, serversOut } =
+    state;
+  return {
+    version,
+    number,
+    document,
+    revision,
+    site,
+    out: [...domainsOut, ...serversOut],
+    members: state.members(),
+    history: state.history(),
+    claims: state.claimCount(),
+    result: state.resultOf("change0"),
+    view: state.viewSince(NOTHING),
+  };
+}
+
+test("a state that was restored shows the same as the one stored", (t) => {
+  const { state, apply, configure } = build();
+  configure(site(4));
+  apply({ kind: "register", member: fakeMember("vm1"), expectedRevision: 0 });
+  apply(fakeChange({ force: true }));
+  apply({
+    kind: "claim",
+    key: "k",
+    requestHash: "h",
+    claimant: "c",
+    server: "vm1",
+    address: "vm1:1",
+    incarnation: "one",
+  });
+  const restored = createControlState();
+  restored.restore(state.snapshot());
+  t.same(seen(restored), seen(state));
+  t.equal(restored.claimCount(), 1);
+  restored.reset();
+  t.same(seen(restored), seen(createControlState()));
+  t.end();
+});
+
+test("a view holds only what is newer than what a node has", (t) => {
+  const { state, configure } = build();
+  configure(site(4));
+  const first = state.viewSince(NOTHING);
+  t.match(first, { global: { revision: 1 }, routeTable: { revision: 1 } });
+  t.equal(first.services.length, 2);
+
+  configure(site(4, 2));
+  const known = { global: 1, routes: 1, services: { work: 1, other: 1 } };
+  const second = state.viewSince(known);
+  t.match(second.global, { revision: 2, version: 2 });
+  t.equal(second.routeTable, undefined, "no route has changed");
+  t.same(second.services.map((one) => one.service), ["other"]);
+  t.same(
+    state.viewSince({ global: 2, routes: 1, services: { work: 1, other: 2 } }),
+    { services: [] },
+  );
+  t.end();
+});
+
+test("a service that is gone is shown without settings", (t) => {
+  const { state, configure } = build();
+  configure(site(4));
+  const { other: _other, ...services } = site(4).services;
+  configure({ ...site(4), services });
+  const { services: views } = state.viewSince({
+    global: 2,
+    routes: 2,
+    services: { other: 1 },
+  });
+  t.match(views, [{ service: "other", revision: 2, settings: undefined }]);
+  t.end();
+});
+
+test("what an operator may not do changes nothing", (t) => {
+  const { state, apply, configure } = build();
+  configure(site(4));
+  apply({ kind: "register", member: fakeMember("vm1"), expectedRevision: 0 });
+  t.match(apply(fakeChange()), { kind: "refused", reason: "last_domain" });
+  t.match(apply(fakeChange({ changeId: "stale", against: 0 })), {
+    kind: "conflict",
+    winner: { changeId: "change0" },
+  });
+  t.match(state, { version: 1, revision: 2 });
+  t.equal(state.domainsOut.size, 0);
+  t.end();
+});
--- /dev/null
+++ b/src/control/withdrawals.ts
@@ -0,0 +1,56 @@
+/**
+ * Failure domains and backend servers that operators have taken out of service.
+ * @module
+ */
+import type { Action, Difference } from "./commands.ts";
+
+/** Takes a failure domain or a backend server out, or back. */
+export type Withdrawal = Exclude<Action, { kind: "configure" }>;
+
+/** Withdrawals as a snapshot keeps them. */
+export interface StoredWithdrawals {
+  domainsOut: string[];
+  serversOut: string[];
+}
+
+/** What is out of service. */
+export interface Withdrawals {
+  readonly domains: ReadonlySet<string>;
+  readonly servers: ReadonlySet<string>;
+  /** Takes something out, or back; returns what differs. */
+  perform(action: Withdrawal): Difference[];
+  /** Returns all withdrawals, for a snapshot. */
+  stored(): StoredWithdrawals;
+}
+
+function setOut(
+  set: Set<string>,
+  options: { name: string; key: string; out: boolean },
+): Difference[] {
+  const { name, key, out } = options;
+  const before = set.has(name);
+  if (out) {
+    set.add(name);
+  } else {
+    set.delete(name);
+  }
+  return [{ key: `${key}.${name}.out`, before, after: out }];
+}
+
+/** Creates withdrawals from a snapshot's. */
+export function createWithdrawals(stored: StoredWithdrawals): Withdrawals {
+  const domains = new Set(stored.domainsOut);
+  const servers = new Set(stored.serversOut);
+
+  return {
+    domains,
+    servers,
+    perform(action) {
+      const out = action.kind === "domain_out" || action.kind === "server_out";
+      return "domain" in action
+        ? setOut(domains, { name: action.domain, key: "domains", out })
+        : setOut(servers, { name: action.server, key: "servers", out });
+    },
+    stored: () => ({ domainsOut: [...domains], serversOut: [...servers] }),
+  };
+}
--- /dev/null
+++ b/src/control/withdrawals_test.ts
@@ -0,0 +1,18 @@
+import { test } from "tap";
+import { createWithdrawals } from "./withdrawals.ts";
+
+test("what is taken out is out until it is taken back", (t) => {
+  const withdrawals = createWithdrawals({ domainsOut: [], serversOut: [] });
+  const out = withdrawals.perform({ kind: "domain_out", domain: "east" });
+  t.same(out, [{ key: "domains.east.out", before: false, after: true }]);
+  withdrawals.perform({ kind: "server_out", server: "vm1" });
+  const stored = { domainsOut: ["east"], serversOut: ["vm1"] };
+  t.same(withdrawals.stored(), stored);
+
+  const restored = createWithdrawals(stored);
+  const back = restored.perform({ kind: "server_back", server: "vm1" });
+  t.same(back, [{ key: "servers.vm1.out", before: true, after: false }]);
+  t.same([...restored.servers], []);
+  t.same([...restored.domains], ["east"]);
+  t.end();
+});
