--- a/src/control/change_rules.ts
+++ b/src/control/change_rules.ts
@@ -98,6 +98,20 @@
   };
 }
 
+/** Returns the broken rule if a service would lose its last servers. */
+function checkLast(
+  reason: "last_domain" | "last_server",
+  options: {
+    facts: RuleFacts;
+    isOut: (member: Member) => boolean;
+    detail: string;
+  },
+): BrokenRule | undefined {
+  const { facts, isOut, detail } = options;
+  const emptied = emptiedService(facts, isOut);
+  return emptied ? { reason, detail: `${detail} ${emptied}` } : undefined;
+}
+
 function checkDomain(
   action: { kind: string; domain: string },
   options: { facts: RuleFacts; force: boolean },
@@ -110,13 +124,12 @@
       detail: `no failure domain ${domain}`,
     };
   }
-  const emptied = action.kind === "domain_out" && !force &&
-    emptiedService(facts, (member) => member.domain === domain);
-  return emptied
-    ? {
-      reason: "last_domain",
-      detail: `${domain} holds the last backend servers of ${emptied}`,
-    }
+  return action.kind === "domain_out" && !force
+    ? checkLast("last_domain", {
+      facts,
+      isOut: (member) => member.domain === domain,
+      detail: `${domain} holds the last backend servers of`,
+    })
     : undefined;
 }
 
@@ -131,14 +144,11 @@
       detail: `no backend server ${server}`,
     };
   }
-  const emptied = !force &&
-    emptiedService(facts, (member) => member.server === server);
-  return emptied
-    ? {
-      reason: "last_server",
-      detail: `${server} is the last backend server of ${emptied}`,
-    }
-    : undefined;
+  return force ? undefined : checkLast("last_server", {
+    facts,
+    isOut: (member) => member.server === server,
+    detail: `${server} is the last backend server of`,
+  });
 }
 
 function checkNumber(
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -4,16 +4,13 @@
  * @module
  */
 import type { z } from "zod";
+import type { Result } from "neverthrow";
 import { type Archive, createArchive } from "../account/archive.ts";
 import { createRecorder, type Query } from "../account/events.ts";
-import type { Logger } from "../core/logger.ts";
-import type { Random } from "../core/random.ts";
-import type { Supervisor } from "../core/tasks.ts";
-import type { Disk } from "../disk/disk.ts";
-import type { Method, Rpc } from "../rpc/rpc.ts";
-import { sleep, type Timer } from "../time/timer.ts";
+import type { Method } from "../rpc/rpc.ts";
+import { sleep } from "../time/timer.ts";
 import type { ChangeResult, Command } from "./commands.ts";
-import { createLeaseBook, type LeaseBook } from "./leases.ts";
+import { createLeaseBook, type LeaseBook, registrationKey } from "./leases.ts";
 import {
   changeMethod,
   claimMethod,
@@ -29,9 +26,9 @@
   statusMethod,
   syncMethod,
 } from "./node_methods.ts";
-import { createReplica, type Replica } from "./replica.ts";
+import type { ProposalError } from "./proposals.ts";
+import { createReplica, type Replica, type ReplicaOptions } from "./replica.ts";
 import { type ControlState, createControlState } from "./state.ts";
-import type { ReplicaTuning } from "./tuning.ts";
 
 const RENEWAL_BATCH_MS = 500;
 const LEASE_CHECK_MS = 500;
@@ -42,19 +39,7 @@
 const RECORDER_CAPACITY = 1_000;
 
 /** Options of {@link createControl}. */
-export interface ControlOptions {
-  vm: string;
-  address: string;
-  founders: Record<string, string>;
-  mayFound?: boolean;
-  disk: Disk;
-  rpc: Rpc;
-  timer: Timer;
-  random: Random;
-  logger: Logger;
-  supervisor: Supervisor;
-  tuning?: Partial<ReplicaTuning>;
-}
+export type ControlOptions = Omit<ReplicaOptions, "machine">;
 
 /** The `control` role of a process. */
 export interface Control {
@@ -64,9 +49,16 @@
   readonly replica: Replica;
   /** Starts to answer. */
   start(): Promise<void>;
-  /** Hands leadership over if need be, and stops. */
+  /**
+   * Hands leadership over if need be, and stops. A change that waits is told
+   * `unknown`; a sync that waits for a quorum is answered as not confirmed.
+   */
   stop(): Promise<void>;
-  /** Makes a change through whichever replica leads. */
+  /**
+   * Makes a change through whichever replica leads. The end of its leadership
+   * ends it with `unknown`; the time limit holds for the call to another
+   * replica only. Nothing tells the leader that the caller no longer waits.
+   */
   change(
     change: z.infer<typeof changeMethod.request>,
     timeoutMs?: number,
@@ -78,7 +70,7 @@
   confirmRead(): Promise<boolean>;
   /** Returns this replica's status. */
   status(): ControlStatus;
-  /** Finds events and changes on all replicas that answer. */
+  /** Finds events and changes on all replicas that answer in time. */
   find(query: Query): Promise<FoundAccount>;
 }
 
@@ -91,6 +83,13 @@
   missing: string[];
 }
 
+/** Returns a result of the replica in the shape that goes to callers. */
+function replyOf<T>(result: Result<T, ProposalError>): LeaderReply<T> {
+  return result.isOk()
+    ? { kind: "done", value: result.value }
+    : { kind: result.error.reason, leader: result.error.leader };
+}
+
 /** Creates the `control` role. */
 export function createControl(options: ControlOptions): Control {
   const { vm, address, rpc, timer, logger, disk } = options;
@@ -123,14 +122,13 @@
   }
 
   async function propose<T>(command: Command): Promise<LeaderReply<T>> {
-    const result = await replica.propose(command);
-    if (result.isOk()) {
-      return { kind: "done", value: result.value as T };
-    }
-    return { kind: result.error.reason, leader: result.error.leader };
+    return replyOf(await replica.propose(command) as Result<T, ProposalError>);
   }
 
-  /** Calls the leader, wherever it is, as long as it is known. */
+  /**
+   * Calls the leader, wherever it is, as long as it is known. A call that fails
+   * or takes too long is `unknown`; the leader is not told, and goes on.
+   */
   async function callLeader<Q, T>(
     method: Method<Q, LeaderReply<T>>,
     options: {
@@ -152,13 +150,14 @@
   }
 
   async function confirmLocally(): Promise<LeaderReply<number>> {
-    const result = await replica.confirm();
-    return result.isOk()
-      ? { kind: "done", value: result.value }
-      : { kind: result.error.reason, leader: result.error.leader };
+    return replyOf(await replica.confirm());
   }
 
-  /** Whether this replica now holds all that was accepted before the call. */
+  /**
+   * Whether this replica now holds all that was accepted before the call. The
+   * time limits of the leader's answer and of catching up, or the stop of this
+   * replica end the wait; the node is told that its view is not confirmed.
+   */
   async function confirmRead(): Promise<boolean> {
     const reply = await callLeader(confirmMethod, {
       request: {},
@@ -178,10 +177,6 @@
     return false;
   }
 
-  function keyOf(renewal: Renewal): string {
-    return `${renewal.server} ${renewal.incarnation}`;
-  }
-
   function unknownTo(renewal: Renewal): boolean {
     const member = state.member(renewal.server);
     return member?.incarnation !== renewal.incarnation;
@@ -210,7 +205,7 @@
         local: () => Promise.resolve(renewLocally(batch)),
       });
       if (reply.kind === "done") {
-        lost = new Set(reply.value.lost.map(keyOf));
+        lost = new Set(reply.value.lost.map(registrationKey));
       }
     }
   }
@@ -263,7 +258,7 @@
     rpc.handle(syncMethod, async (request) => {
       const { known, renewal, confirm, events } = request;
       if (renewal) {
-        renewals.set(keyOf(renewal), renewal);
+        renewals.set(registrationKey(renewal), renewal);
       }
       void archive.add(events);
       const confirmed = confirm ? await confirmRead() : false;
@@ -273,7 +268,7 @@
         leader: replica.status().leader,
         replicas: replica.addresses(),
         fleetSize: state.members().length,
-        leaseLost: renewal !== undefined && lost.has(keyOf(renewal)),
+        leaseLost: renewal !== undefined && lost.has(registrationKey(renewal)),
         view: state.viewSince(known),
         own: confirmed ? state.member(request.node) : undefined,
       };
--- a/src/control/election.ts
+++ b/src/control/election.ts
@@ -26,7 +26,11 @@
   newestTerm: number;
 }
 
-/** Asks all voters at once; resolves as soon as the result is certain. */
+/**
+ * Asks all voters at once; resolves as soon as the result is certain. Calls
+ * that are still open then run out; their answers change nothing, and voters
+ * are not told of the result.
+ */
 export function collectVotes(
   candidacy: Candidacy,
   options: { log: ReplicaLog; rpc: Rpc; timeoutMs: number },
--- a/src/control/entrance.ts
+++ b/src/control/entrance.ts
@@ -56,7 +56,11 @@
     recovered.snapshot?.membership;
 }
 
-/** Enters the cluster; resolves once the replica may take part. */
+/**
+ * Enters the cluster; resolves once the replica may take part. It greets peers
+ * for as long as it takes. Only the end of the replica ends it, as `stopped`,
+ * and peers are not told.
+ */
 export async function enterCluster(
   options: EntranceOptions,
 ): Promise<Entrance> {
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -4,10 +4,7 @@
  * @module
  */
 import type { Logger } from "../core/logger.ts";
-import type { Supervisor } from "../core/tasks.ts";
-import type { Rpc } from "../rpc/rpc.ts";
-import { sleep, type Timer } from "../time/timer.ts";
-import type { DurableMarks } from "./durable_marks.ts";
+import { sleep } from "../time/timer.ts";
 import { handOverTo } from "./handover.ts";
 import type { Entry, Membership, ReplicaInfo } from "./log_store.ts";
 import {
@@ -20,24 +17,12 @@
 } from "./membership_changes.ts";
 import { reachedByQuorum } from "./quorum.ts";
 import { createQuorumReads } from "./quorum_reads.ts";
-import type { ReplicaLog } from "./replica_log.ts";
-import { createReplication } from "./replication.ts";
-import type { ReplicaTuning } from "./tuning.ts";
-
-/** Options of {@link createLeadership}. */
-export interface LeadershipOptions {
-  self: ReplicaInfo;
-  term: number;
-  log: ReplicaLog;
-  rpc: Rpc;
-  timer: Timer;
+import { createReplication, type ReplicationOptions } from "./replication.ts";
+
+/** Options of {@link createLeadership}; the marks are kept up to date here. */
+export interface LeadershipOptions
+  extends Omit<ReplicationOptions, "onMatched"> {
   logger: Logger;
-  supervisor: Supervisor;
-  tuning: ReplicaTuning;
-  /** Newest durable marks of all replicas, kept up to date here. */
-  marks: DurableMarks;
-  /** A peer has seen a newer term. */
-  onNewerTerm: (term: number) => void;
   /** No quorum answered for an election timeout. */
   onQuorumLost: () => void;
   /** A committed membership no longer holds this replica. */
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -15,29 +15,30 @@
   expired(members: readonly Member[], leaseMs: number): Member[];
 }
 
+/** Tells one registration of a server from the next one. */
+export function registrationKey({ server, incarnation }: Renewal): string {
+  return `${server} ${incarnation}`;
+}
+
 /** Creates leases that each start when their member is first seen. */
 export function createLeaseBook(timer: Timer): LeaseBook {
   const renewedAt = new Map<string, number>();
 
-  function nameOf(renewal: Renewal): string {
-    return `${renewal.server} ${renewal.incarnation}`;
-  }
-
   return {
     renew(renewals) {
       for (const renewal of renewals) {
-        renewedAt.set(nameOf(renewal), timer.now());
+        renewedAt.set(registrationKey(renewal), timer.now());
       }
     },
     expired(members, leaseMs) {
-      const current = new Set(members.map(nameOf));
+      const current = new Set(members.map(registrationKey));
       for (const name of renewedAt.keys()) {
         if (!current.has(name)) {
           renewedAt.delete(name);
         }
       }
       return members.filter((member) => {
-        const name = nameOf(member);
+        const name = registrationKey(member);
         const since = renewedAt.get(name) ?? timer.now();
         renewedAt.set(name, since);
         return timer.now() - since > leaseMs;
--- a/src/control/node_methods.ts
+++ b/src/control/node_methods.ts
@@ -26,7 +26,10 @@
   ]);
 }
 
-/** A reply that only the leader can give. */
+/**
+ * A reply that only the leader can give. `not_leader`: nothing was appended.
+ * `unknown`: leadership or the call ended first, and it may still be committed.
+ */
 export type LeaderReply<T> =
   | { kind: "done"; value: T }
   | { kind: "not_leader"; leader: string }
@@ -43,6 +46,9 @@
  * Asks for news and renews a lease; any replica answers. The reply names the
  * RPC addresses of all replicas and the number of registered members. `own`:
  * what is registered for the node, told once with a confirmed view.
+ *
+ * The node ends a sync by its timeout; the replica is not told, and keeps the
+ * renewal and the events. A replica that stops answers what is under way.
  */
 export const syncMethod = defineMethod("sync", {
   request: z.object({
--- a/src/control/submission.ts
+++ b/src/control/submission.ts
@@ -11,7 +11,7 @@
 /**
  * Proposes a change until there is a result or the time is up. Its change id
  * makes a repeated proposal harmless. Without a result it may or may not be
- * accepted later.
+ * accepted later: nothing takes back a proposal that is under way.
  */
 export async function submitChange(
   change: Omit<Change, "kind" | "wallTime">,
