Part the commands of the command line by what they do

They stand in run_commands.ts, settings_commands.ts, change_commands.ts and read_commands.ts. No logic changes.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,17 +6,17 @@
 import { Builtins, Cli } from "clipanion";
 import {
   ApplyCommand,
-  CheckCommand,
-  ControlCommand,
   DomainCommand,
+  ServerCommand,
+} from "./change_commands.ts";
+import { DemoCommand } from "./demo_command.ts";
+import {
   ExplainCommand,
   HistoryCommand,
-  NodeCommand,
-  ServerCommand,
-  SettingsCommand,
   StatusCommand,
-} from "./commands.ts";
-import { DemoCommand } from "./demo_command.ts";
+} from "./read_commands.ts";
+import { ControlCommand, NodeCommand } from "./run_commands.ts";
+import { CheckCommand, SettingsCommand } from "./settings_commands.ts";
 
 const cli = new Cli({
   binaryLabel: "Mustardcross",
--- /dev/null
+++ b/src/cli/run_commands.ts
@@ -0,0 +1,86 @@
+/**
+ * The commands that run a process until a signal: `node` and `control`.
+ * @module
+ */
+import { Command, Option } from "clipanion";
+import { errorMessage } from "../core/errors.ts";
+import { standardOutput } from "../core/log_sink.ts";
+import { createLogger } from "../core/logger.ts";
+import { startProcess } from "../process.ts";
+import { loadProcess } from "../settings/load.ts";
+import { EXIT, reportMistakes } from "./output.ts";
+
+/** Longest wait for the reader of the last log lines, in milliseconds. */
+const FLUSH_MS = 200;
+
+/**
+ * Runs a process until SIGTERM or SIGINT ends it: it hands over and drains
+ * first. A second signal of the same kind ends it at once.
+ */
+abstract class RunCommand extends Command {
+  settings = Option.String("--settings", {
+    required: true,
+    description: "The process's own settings, a TOML file",
+  });
+
+  protected async run(role: "node" | "control"): Promise<number> {
+    const loaded = loadProcess(this.settings);
+    if (loaded.isErr()) {
+      return reportMistakes(this.context, loaded.error);
+    }
+    const settings = loaded.value;
+    if (!settings[role]) {
+      return reportMistakes(this.context, [{
+        file: this.settings,
+        key: role,
+        found: "nothing",
+        expected: `the table [${role}]`,
+      }]);
+    }
+    const output = standardOutput();
+    const logger = createLogger({ write: output.write });
+    try {
+      const running = await startProcess(settings, { logger });
+      await new Promise<void>((resolve) => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+      });
+      logger.info("process.stopping", { vm: settings.vm });
+      await running.stop();
+      await output.flush(FLUSH_MS);
+      // Idle sockets of libraries must not keep the process.
+      setImmediate(() => process.exit(EXIT.ok));
+      return EXIT.ok;
+    } catch (error) {
+      logger.error("process.failed", { error: errorMessage(error) });
+      await output.flush(FLUSH_MS);
+      return EXIT.failed;
+    }
+  }
+}
+
+/** `mustardcross node` */
+export class NodeCommand extends RunCommand {
+  static override paths = [["node"]];
+  static override usage = Command.Usage({
+    description: "Run the node role, and control too if the settings say so",
+    details: "Stops gracefully on SIGTERM or SIGINT.",
+    examples: [["Run a node", "$0 node --settings vm1.toml"]],
+  });
+  execute(): Promise<number> {
+    return this.run("node");
+  }
+}
+
+/** `mustardcross control` */
+export class ControlCommand extends RunCommand {
+  static override paths = [["control"]];
+  static override usage = Command.Usage({
+    description: "Run the control role, and a node too if the settings say so",
+    details: "Stops gracefully on SIGTERM or SIGINT.",
+    examples: [["Run a control replica", "$0 control --settings vm1.toml"]],
+  });
+  execute(): Promise<number> {
+    return this.run("control");
+  }
+}
--- /dev/null
+++ b/src/cli/settings_commands.ts
@@ -0,0 +1,65 @@
+/**
+ * The commands on settings files: `check` and `settings`.
+ * @module
+ */
+import { Command, Option } from "clipanion";
+import { loadSite } from "../settings/load.ts";
+import { settingsReference } from "../settings/reference.ts";
+import { EXIT, printJson, printTable, reportMistakes } from "./output.ts";
+
+/** `mustardcross check` */
+export class CheckCommand extends Command {
+  static override paths = [["check"]];
+  static override usage = Command.Usage({
+    description: "Check a base file with an overlay, and show the result",
+    details:
+      "Tables merge key by key. An overlay's list must hold every item of " +
+      "the base's, unless the overlay names the key under `replace`; a key " +
+      "goes away only when the overlay names it under `remove`.",
+    examples: [[
+      "Check the overlay of one site",
+      "$0 check examples/base.toml examples/rajkot.toml",
+    ]],
+  });
+  base = Option.String({ name: "base" });
+  overlay = Option.String({ required: false, name: "overlay" });
+  json = Option.Boolean("--json", false, { description: "Print JSON" });
+
+  execute(): Promise<number> {
+    const checked = loadSite(this.base, this.overlay);
+    if (checked.isErr()) {
+      return Promise.resolve(reportMistakes(this.context, checked.error));
+    }
+    const { site, origins } = checked.value;
+    if (this.json) {
+      printJson(this.context, { site, origins: Object.fromEntries(origins) });
+      return Promise.resolve(EXIT.ok);
+    }
+    const rows = [...origins].map(([key, origin]) => [
+      key,
+      JSON.stringify(
+        key.split(".").reduce<unknown>(
+          (value, part) => (value as Record<string, unknown>)[part],
+          site,
+        ),
+      ),
+      origin,
+    ]);
+    printTable(this.context, [["KEY", "VALUE", "ORIGIN"], ...rows]);
+    return Promise.resolve(EXIT.ok);
+  }
+}
+
+/** `mustardcross settings` */
+export class SettingsCommand extends Command {
+  static override paths = [["settings"]];
+  static override usage = Command.Usage({
+    description: "Print the settings reference as Markdown",
+    examples: [["Read it", "$0 settings | less"]],
+  });
+
+  execute(): Promise<number> {
+    this.context.stdout.write(settingsReference());
+    return Promise.resolve(EXIT.ok);
+  }
+}
