Part control.ts into calls to the leader, leases, accounts and answers

control.ts (388 lines) held five jobs in one closure. leader_calls.ts finds the leader and confirms reads, lease_keeper.ts owns renewals and leases, account_search.ts finds events on all replicas, node_handlers.ts answers nodes; control.ts (182 lines) wires them. The one time limit of 700 ms for three purposes has a name for each; the values stay. No logic changes.

--- /dev/null
+++ b/src/control/leader_calls_test.ts
@@ -0,0 +1,78 @@
+import { test } from "tap";
+import { createFakeRpcNetwork } from "../rpc/fake_rpc.ts";
+import { createFakeTimer } from "../time/fake_timer.ts";
+import { createFakeControlReplica } from "./fake_control_replica.ts";
+import { createLeaderCalls } from "./leader_calls.ts";
+import { confirmMethod } from "./node_methods.ts";
+
+const [ADDRESS, LEADER] = ["a:1", "b:1"];
+
+async function build() {
+  const timer = createFakeTimer();
+  const network = createFakeRpcNetwork(timer, 1);
+  const replica = createFakeControlReplica(LEADER);
+  const ending = new AbortController();
+  const calls = createLeaderCalls({
+    replica,
+    address: ADDRESS,
+    rpc: network.from(ADDRESS),
+    timer,
+    signal: ending.signal,
+  });
+  const leader = network.from(LEADER);
+  leader.handle(
+    confirmMethod,
+    () => Promise.resolve({ kind: "done" as const, value: 7 }),
+  );
+  await leader.listen(LEADER);
+  return { timer, network, replica, ending, calls };
+}
+
+test("a follower has the leader confirm, and then catches up", async (t) => {
+  const { timer, replica, calls } = await build();
+  let confirmed: boolean | undefined;
+  void calls.confirmRead().then((value) => {
+    confirmed = value;
+  });
+  await timer.advance(100);
+  t.equal(confirmed, undefined);
+  replica.shown.commitIndex = 7;
+  await timer.advance(20);
+  t.equal(confirmed, true);
+});
+
+test("a read is not confirmed by a follower that stays behind, or a dead leader", async (t) => {
+  const { timer, network, calls } = await build();
+  const behind = calls.confirmRead();
+  await timer.advance(1_000);
+  t.equal(await behind, false);
+  network.kill(LEADER);
+  const dead = calls.confirmRead();
+  await timer.advance(1_000);
+  t.equal(await dead, false);
+});
+
+test("a call that the leader does not answer is unknown", async (t) => {
+  const { timer, network, calls } = await build();
+  network.fate = () => ({ lost: true, delayMs: 1 });
+  const reply = calls.call(confirmMethod, {
+    request: {},
+    timeoutMs: 50,
+    local: calls.confirmHere,
+  });
+  await timer.advance(60);
+  t.same(await reply, { kind: "unknown", leader: LEADER });
+});
+
+test("a call without a leader, or to oneself, is not made", async (t) => {
+  const { replica, calls } = await build();
+  for (const leader of ["", ADDRESS]) {
+    replica.shown.leader = leader;
+    const reply = await calls.call(confirmMethod, {
+      request: {},
+      timeoutMs: 50,
+      local: calls.confirmHere,
+    });
+    t.same(reply, { kind: "not_leader", leader: "" });
+  }
+});
--- /dev/null
+++ b/src/control/lease_keeper.ts
@@ -0,0 +1,122 @@
+/**
+ * Renews and ends the leases of members: a follower passes renewals on to the
+ * leader, and the leader removes members whose lease has run out.
+ * @module
+ */
+import type { Recorder } from "../account/events.ts";
+import type { Logger } from "../core/logger.ts";
+import { sleep, type Timer } from "../time/timer.ts";
+import type { LeaderCalls } from "./leader_calls.ts";
+import { createLeaseBook, type LeaseBook, registrationKey } from "./leases.ts";
+import { type LeaderReply, type Renewal, renewMethod } from "./node_methods.ts";
+import type { ControlState } from "./state.ts";
+
+/** Interval at which renewals are passed on together, in milliseconds. */
+const RENEWAL_BATCH_MS = 500;
+/** Longest wait for the leader to take renewals, in milliseconds. */
+const RENEWAL_TIMEOUT_MS = 700;
+/** Interval at which a leader looks at leases, in milliseconds. */
+const LEASE_CHECK_MS = 500;
+/** Lease of a member before there is a configuration, in milliseconds. */
+const DEFAULT_LEASE_MS = 5_000;
+
+/** Options of {@link createLeaseKeeper}. */
+export interface LeaseKeeperOptions {
+  state: ControlState;
+  calls: LeaderCalls;
+  /** RPC address of the leader, or empty. */
+  leader: () => string;
+  recorder: Recorder;
+  timer: Timer;
+  logger: Logger;
+  /** Aborted when the replica stops; renewals not passed on yet are lost. */
+  signal: AbortSignal;
+}
+
+/** Renews and ends the leases of members. */
+export interface LeaseKeeper {
+  /** Takes a node's renewal, to be passed on with the next batch. */
+  note(renewal: Renewal): void;
+  /** Whether the leader called a registration lost in the newest batch. */
+  isLost(renewal: Renewal): boolean;
+  /** Renews leases as leader. */
+  renew(batch: Renewal[]): LeaderReply<{ lost: Renewal[] }>;
+  /** Passes renewals on until the replica stops. */
+  passOn(): Promise<void>;
+  /** Removes members without a lease, while this replica leads. */
+  expire(): Promise<void>;
+}
+
+/** Creates a keeper that holds no lease. */
+export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
+  const { state, calls, recorder, timer, logger, signal } = options;
+  const renewals = new Map<string, Renewal>();
+  let lost = new Set<string>();
+  let leases: LeaseBook | undefined;
+
+  function unknownTo(renewal: Renewal): boolean {
+    const member = state.member(renewal.server);
+    return member?.incarnation !== renewal.incarnation;
+  }
+
+  function renew(batch: Renewal[]): LeaderReply<{ lost: Renewal[] }> {
+    if (!calls.leads()) {
+      return { kind: "not_leader", leader: options.leader() };
+    }
+    leases ??= createLeaseBook(timer);
+    leases.renew(batch);
+    return { kind: "done", value: { lost: batch.filter(unknownTo) } };
+  }
+
+  return {
+    note: (renewal) => renewals.set(registrationKey(renewal), renewal),
+    isLost: (renewal) => lost.has(registrationKey(renewal)),
+    renew,
+    async passOn() {
+      while (!signal.aborted) {
+        await sleep(timer, RENEWAL_BATCH_MS, { signal });
+        if (renewals.size === 0) {
+          continue;
+        }
+        const batch = [...renewals.values()];
+        renewals.clear();
+        const reply = await calls.call(renewMethod, {
+          request: { renewals: batch },
+          timeoutMs: RENEWAL_TIMEOUT_MS,
+          local: () => Promise.resolve(renew(batch)),
+        });
+        if (reply.kind === "done") {
+          lost = new Set(reply.value.lost.map(registrationKey));
+        }
+      }
+    },
+    async expire() {
+      while (!signal.aborted) {
+        await sleep(timer, LEASE_CHECK_MS, { signal });
+        if (!calls.leads()) {
+          leases = undefined;
+          continue;
+        }
+        leases ??= createLeaseBook(timer);
+        const leaseMs = state.site?.timeouts.lease_ms ?? DEFAULT_LEASE_MS;
+        for (const member of leases.expired(state.members(), leaseMs)) {
+          const { server, service, domain, incarnation } = member;
+          logger.warn("member.lease_expired", { server });
+          recorder.record({
+            kind: "member",
+            server,
+            service,
+            domain,
+            cause: "the lease ran out",
+          });
+          await calls.propose({
+            kind: "expire",
+            server,
+            incarnation,
+            cause: "lease",
+          });
+        }
+      }
+    },
+  };
+}
