--- a/src/control/election.ts
+++ b/src/control/election.ts
@@ -4,6 +4,7 @@
  */
 import type { Rpc } from "../rpc/rpc.ts";
 import { voteMethod } from "./methods.ts";
+import { quorumOf } from "./quorum.ts";
 import type { ReplicaLog } from "./replica_log.ts";
 
 /** A candidacy, or only the question whether it would be welcome. */
@@ -25,14 +26,18 @@
   newestTerm: number;
 }
 
-/** Asks all voters at once; resolves as soon as the result is certain. */
+/**
+ * Asks all voters at once; resolves as soon as the result is certain. Calls
+ * that are still open then run out; their answers change nothing, and voters
+ * are not told of the result.
+ */
 export function collectVotes(
   candidacy: Candidacy,
   options: { log: ReplicaLog; rpc: Rpc; timeoutMs: number },
 ): Promise<Tally> {
   const { log, rpc, timeoutMs } = options;
   const { voters } = log.membership;
-  const needed = Math.floor(voters.length / 2) + 1;
+  const needed = quorumOf(voters.length);
   const others = voters.filter((one) => one.identity !== candidacy.candidate);
   let granted = 1;
   let newestTerm = 0;
