--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -43,7 +43,7 @@
   connect_ms: milliseconds.default(250)
     .describe("Longest wait for a new connection"),
   silence_ms: milliseconds.default(400)
-    .describe("Silence after which a connection counts as lost"),
+    .describe("Silence of a guard after which it is asked whether it is lost"),
   keepalive_ms: milliseconds.default(100)
     .describe("Interval of signs of life while an attempt runs"),
   idle_ping_ms: milliseconds.default(1_000)
