Accept the connections that wait before a stopping node closes its listener

What callers saw: connections reset at the moment at which a node stops listening, a time when many wait if the node is short of processor time. They may be sent again, but each costs its caller a try.

Cause: one poll of the runtime accepts one connection, and a stop closed the listener after one poll; the kernel resets what still waits.

Change: polls go on until one accepts nothing, for 500 ms at most.

Evidence: src/http/server_test.ts "... takes the connections that wait to be accepted", red before: of 50 connections that came about before the stop some were reset.

--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -65,6 +65,8 @@
 /** Connections of one server. */
 interface Connections {
   open: number;
+  /** Connections accepted so far. */
+  accepted: number;
   /** Those that have not brought a request yet. */
   withoutRequest: Set<Socket>;
 }
@@ -73,11 +75,16 @@
 
 /** Keeps track of a server's connections. */
 function trackConnections(server: Server): void {
-  const connections: Connections = { open: 0, withoutRequest: new Set() };
+  const connections: Connections = {
+    open: 0,
+    accepted: 0,
+    withoutRequest: new Set(),
+  };
   const { withoutRequest } = connections;
   connectionsOf.set(server, connections);
   server.on("connection", (socket) => {
     connections.open++;
+    connections.accepted++;
     withoutRequest.add(socket);
     socket.once("close", () => {
       connections.open--;
@@ -101,15 +108,38 @@
   }
 }
 
+/** Longest time for which a stop accepts what waits, in milliseconds. */
+const ACCEPT_MS = 500;
+
+/** Calls `done` once no connection waits to be accepted; a poll accepts one. */
+function acceptWaiting(server: Server, done: () => void): void {
+  const until = performance.now() + ACCEPT_MS;
+  function accepted(): number {
+    return connectionsOf.get(server)?.accepted ?? 0;
+  }
+  function poll(before: number): void {
+    setImmediate(() => {
+      const now = accepted();
+      if (now === before || performance.now() > until) {
+        done();
+      } else {
+        poll(now);
+      }
+    });
+  }
+  // The first poll may be under way already.
+  setImmediate(() => poll(accepted()));
+}
+
 /**
- * Stops listening, and resolves once every connection has ended. Requests
+ * Stops listening, and resolves once every connection has ended. Connections
+ * that wait are accepted first, since the kernel would reset them. Requests
  * under way are answered, and so is one that an accepted connection brings
  * soon; whoever sends one later finds the connection closed.
  */
 export function closeHttp(server: Server): Promise<void> {
   return new Promise((resolve) => {
-    // Right after a poll no accepted connection waits in the kernel's queue.
-    setImmediate(() => {
+    acceptWaiting(server, () => {
       // The HTTP server's own close would cut connections that seem idle.
       NetServer.prototype.close.call(server, () => resolve());
       setTimeout(() => {
