Close an API's connection after an answer that left a body unread

What callers saw: nothing yet; found by a test of our own. A call of a backend server or an operator whose body has no end was answered (400 over 16 KiB, 413 over 16 MiB, or at once where no body is read), and then the rest was read at the speed of the loopback: the runtime reads away what an answer left, until the request times out after a minute.

Cause: giving up reading does not close a server's connection, and only one of the four APIs asked for that itself.

Every answer of an API whose request still has body to come now says "connection: close".

--- a/src/http/admin_api.ts
+++ b/src/http/admin_api.ts
@@ -120,7 +120,6 @@
     const bytes = await readLimited(request, MAX_BODY_BYTES);
     if (!bytes) {
       const error = `the body is larger than ${MAX_BODY_BYTES} bytes`;
-      response.setHeader("connection", "close");
       sendJson(response, 413, { error });
       return;
     }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -75,6 +75,16 @@
   });
 }
 
+/** Closes after an early answer: what is left of a body may have no end. */
+function closeIfUnread(response: ServerResponse): void {
+  const { complete, headers } = response.req;
+  const hasBody = headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+  if (hasBody && !complete) {
+    response.setHeader("connection", "close");
+  }
+}
+
 /** Sends a JSON answer. */
 export function sendJson(
   response: ServerResponse,
@@ -82,6 +92,7 @@
   value: unknown,
 ): void {
   const text = JSON.stringify(value, null, 2) + "\n";
+  closeIfUnread(response);
   response.writeHead(status, {
     "content-type": "application/json",
     "content-length": Buffer.byteLength(text),
@@ -95,6 +106,7 @@
   status: number,
   text: string,
 ): void {
+  closeIfUnread(response);
   response.writeHead(status, {
     "content-type": "text/plain; version=0.0.4",
     "content-length": Buffer.byteLength(text),
