Judge the length of header fields once a head, not at each field

What callers saw: nothing yet. A backend server that sends header fields without end held the event loop of its node up: the library's bound is checked at each field, and makes an error with a stack for each one beyond it in what was read at once.

The meter judges a whole head itself, and ends one without end by its count of bytes.

--- a/src/guard/byte_meter.ts
+++ b/src/guard/byte_meter.ts
@@ -11,17 +11,32 @@
 export interface ByteMeter {
   /** A new connection takes the place of the last one. */
   open(socket: Socket): void;
-  /** Returns a handler that notes when parts of an answer have come. */
+  /**
+   * Returns a handler that notes when parts of an answer have come, and does
+   * not take a head whose fields are too long.
+   */
   watch(handler: Dispatcher.DispatchHandlers): Dispatcher.DispatchHandlers;
 }
 
+/** Bounds of what a connection may bring, in bytes. */
+export interface ByteLimits {
+  /** Names and values of an answer's header fields. */
+  fields: number;
+  /** What may come after the last part of an answer. */
+  stray: number;
+}
+
 const FIRST_FINAL_STATUS = 200;
 
-/**
- * Creates a meter. A connection is destroyed with the error of `excess` once
- * more than `limit` bytes came after the last part of an answer.
- */
-export function createByteMeter(limit: number, excess: () => Error): ByteMeter {
+function sizeOf(fields: Buffer[]): number {
+  return fields.reduce((size, field) => size + field.length, 0);
+}
+
+/** Creates a meter that closes a connection over a limit with an error. */
+export function createByteMeter(
+  limits: ByteLimits,
+  excess: (bytes: number) => Error,
+): ByteMeter {
   let current: Socket | undefined;
   let watched: Socket | undefined;
   let bytesAtProgress = 0;
@@ -29,8 +44,8 @@
   function check(socket: Socket): void {
     // What is held back was not parsed yet.
     const parsed = socket === current && socket.readableLength === 0;
-    if (parsed && socket.bytesRead - bytesAtProgress > limit) {
-      socket.destroy(excess());
+    if (parsed && socket.bytesRead - bytesAtProgress > limits.stray) {
+      socket.destroy(excess(limits.stray));
     }
   }
 
@@ -66,6 +81,9 @@
         if (status >= FIRST_FINAL_STATUS) {
           progress();
         }
+        if (sizeOf(headers) > limits.fields) {
+          throw excess(limits.fields);
+        }
         return handler.onHeaders?.(status, headers, resume, text) ?? true;
       },
       onData(chunk) {
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -25,6 +25,11 @@
  * header fields, their punctuation, and heads of interim answers.
  */
 const MAX_STRAY_BYTES = 2 * MAX_HEADER_BYTES;
+/**
+ * The library's own bound of header fields: more than it parses at once, since
+ * it makes an error for each field beyond.
+ */
+const LIBRARY_HEADER_BYTES = 1024 * 1024;
 const BODY_TIMEOUT_MS = 30_000;
 /** Idle time of a connection whose server names none, in milliseconds. */
 const KEEP_ALIVE_MS = 400;
@@ -56,9 +61,6 @@
   ) {
     return "timeout";
   }
-  if (error instanceof errors.HeadersOverflowError) {
-    return "defective";
-  }
   return "reset";
 }
 
@@ -129,13 +131,13 @@
     options: { address: string; connectTimeoutMs: number; library: object },
   ) {
     const { address, connectTimeoutMs, library } = options;
+    const limits = { fields: MAX_HEADER_BYTES, stray: MAX_STRAY_BYTES };
     const meter = createByteMeter(
-      MAX_STRAY_BYTES,
-      () =>
+      limits,
+      (bytes) =>
         new BackendError("defective", {
           peer: address,
-          message:
-            `over ${MAX_STRAY_BYTES} bytes that are no part of an answer`,
+          message: `over ${bytes} bytes beside the parts of an answer`,
         }),
     );
     super(origin, {
@@ -169,7 +171,7 @@
       pipelining: 1,
       factory: (origin, library) =>
         new MeteredClient(origin, { address, connectTimeoutMs, library }),
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: LIBRARY_HEADER_BYTES,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       // Whoever sends a request cancels it; the library's timers are coarse.
--- a/tests/guard/endless_bodies_test.ts
+++ b/tests/guard/endless_bodies_test.ts
@@ -243,6 +243,21 @@
   t.match(await servesNext(lab), { kind: "answer", status: 200 });
 });
 
+test("a head that comes now and then is given up at the deadline", async (t) => {
+  const lab = await startLab((connection) => connection.write("HTTP/1.1 200 "));
+  t.teardown(lab.server.close);
+  const run = lab.run();
+  await eventually(
+    "it has begun to answer",
+    () => (lab.server.connections[0]?.written ?? 0) > 0,
+  );
+  await lab.timer.advance(DEADLINE_MS / 2);
+  lab.server.connections[0].write("a");
+  await lab.timer.advance(DEADLINE_MS);
+  t.match(await run.ended, { kind: "failed", outcome: "unknown" });
+  t.match(await servesNext(lab), { kind: "answer", status: 200 });
+});
+
 test("a body without end after the caller has left is closed", async (t) => {
   const lab = await startLab((connection) => {
     connection.write("HTTP/1.1 200 OK\r\n\r\npart");
--- a/tests/guard/endless_heads_test.ts
+++ b/tests/guard/endless_heads_test.ts
@@ -92,6 +92,29 @@
   });
 }
 
+test("a whole head with too many fields closes the connection", async (t) => {
+  const { server, backend } = await startTroubled((connection) =>
+    connection.write(
+      `${OK}${"x-a: b\r\n".repeat(5_000)}content-length: 0\r\n\r\n`,
+    )
+  );
+  t.teardown(server.close);
+  t.equal(await outcomeOf(backend), "backend.defective");
+  await eventually("it is closed", () => server.connections[0].closed);
+  t.equal(await outcomeOf(backend), "sound");
+});
+
+test("bytes without end after an answer's length close the connection", async (t) => {
+  const { server, backend } = await startTroubled((connection) => {
+    connection.write(SOUND);
+    connection.flood("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore");
+  });
+  t.teardown(server.close);
+  t.equal(await outcomeOf(backend), "sound");
+  await eventually("it is closed", () => server.connections[0].closed);
+  t.equal(await outcomeOf(backend), "sound");
+});
+
 test("bytes without end after an answer close the idle connection", async (t) => {
   const { server, backend } = await startTroubled((connection) =>
     connection.write(SOUND)
