--- a/tests/known_red/tap_report.ts
+++ b/tests/known_red/tap_report.ts
@@ -14,6 +14,8 @@
   signal?: string;
   /** Exit status of the process of a test file. */
   exitCode?: number;
+  /** What ran longer than the runner lets it: for a file, its name. */
+  expired?: string;
 }
 
 /** Results of one level of indentation, up to the one that closes it. */
@@ -25,7 +27,7 @@
 const RESULT = /^(not )?ok\b(?: \d+)?(?: - (.*))?$/;
 const PLAN = /^1\.\.(\d+)/;
 const NOTE = /(?<!\\)\s*# (SKIP|TODO|time=)(.*)$/;
-const FIELD = /^(signal|exitCode): (.+)$/;
+const FIELD = /^(signal|exitCode|expired): (.+)$/;
 /** Spaces that tap sets a test's results in by. */
 const INDENT = 4;
 /** Spaces that the details of a result are set in by. */
@@ -93,5 +95,6 @@
   const field = FIELD.exec(line.slice(DETAILS_INDENT));
   if (!field || field[2] === "null") return;
   if (field[1] === "signal") result.signal = field[2];
+  else if (field[1] === "expired") result.expired = field[2];
   else result.exitCode = Number(field[2]);
 }
--- a/tests/known_red/verdict.ts
+++ b/tests/known_red/verdict.ts
@@ -35,7 +35,9 @@
 export function decide(run: TapRun, entries: KnownRed[]): Verdict {
   const verdict: Verdict = { passed: 0, failures: [], passedOver: [] };
   const level = readTap(run.tap);
-  const files = new Map(level.results.map((file) => [sourceOf(file), file]));
+  const files = new Map(
+    level.results.map((file) => [sourceOf(file.name), file]),
+  );
   const listed = new Set<TestResult>();
   for (const entry of entries) {
     judgeEntry(entry, { run, files, listed, verdict });
@@ -43,7 +45,7 @@
   if (!isComplete(level) || files.size === 0) {
     verdict.failures.push("tap ended before all test files had run");
   }
-  for (const [file, result] of files) judgeFile(file, result, listed, verdict);
+  for (const file of level.results) judgeFile(file, listed, verdict);
   const explained = verdict.failures.length + verdict.passedOver.length > 0;
   if (run.exitCode !== 0 && !explained) {
     verdict.failures.push(`tap ended with ${run.exitCode}, but no test failed`);
@@ -51,9 +53,9 @@
   return verdict;
 }
 
-/** Source file of a test file's result: `dist/a_test.js` is `a_test.ts`. */
-function sourceOf(file: TestResult): string {
-  return file.name.replace(/^dist\/(.*)\.js$/, "$1.ts");
+/** Source file of a test file: `dist/a_test.js` comes from `a_test.ts`. */
+function sourceOf(file: string): string {
+  return file.replace(/^dist\/(.*)\.js$/, "$1.ts");
 }
 
 interface Judging {
@@ -108,11 +110,16 @@
 
 /** Adds what a test file's results say to the verdict. */
 function judgeFile(
-  file: string,
   result: TestResult,
   listed: Set<TestResult>,
   verdict: Verdict,
 ): void {
+  const file = sourceOf(result.name);
+  if (result.expired) {
+    // The runner reports this in place of a file, whose results may be lost.
+    verdict.failures.push(`${sourceOf(result.expired)}: timed out`);
+    return;
+  }
   const fail = (what: string): number =>
     verdict.failures.push(`${file}: ${what}`);
   const before = verdict.failures.length;
--- a/tests/known_red/verdict_test.ts
+++ b/tests/known_red/verdict_test.ts
@@ -195,6 +195,21 @@
   t.end();
 });
 
+test("files that the runner's limit ended are named, and all of them", (t) => {
+  const expired = (name: string): string[] => [
+    "not ok 2 - timeout!",
+    "  ---",
+    `  expired: dist/${name}_test.js`,
+    "  ...",
+  ];
+  const files = [file("a", good), expired("b"), expired("c")];
+  t.same(run(files).failures, [
+    "b_test.ts: timed out",
+    "c_test.ts: timed out",
+  ]);
+  t.end();
+});
+
 test("a test file that ran no test fails", (t) => {
   const skipped = ["# Subtest: dist/a_test.js", "    1..0 # no tests found"];
   const none = [...skipped, "ok 1 - dist/a_test.js # SKIP no tests found"];
