--- a/tests/processes.ts
+++ b/tests/processes.ts
@@ -17,6 +17,8 @@
 const STANDIN = join(HERE, "../src/standin/main.js");
 const EXAMPLES = join(HERE, "../../examples");
 const TOKEN = "test-token";
+/** Failure domains of the example site. */
+export const DOMAINS = ["race-course", "kalavad", "jamnagar-road"];
 const WAIT_MS = 30_000;
 const CHECK_MS = 50;
 
@@ -55,10 +57,16 @@
   throw new Error(`never came true: ${what}`);
 }
 
+/** Environment of a process, without what the test runner loads into each. */
+function environment(): NodeJS.ProcessEnv {
+  const { NODE_OPTIONS: _, ...rest } = process.env;
+  return { ...rest, MUSTARDCROSS_TOKEN: TOKEN, NO_COLOR: "1" };
+}
+
 function start(script: string, args: string[]): Running {
   const child = spawn(process.execPath, [script, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
-    env: { ...process.env, MUSTARDCROSS_TOKEN: TOKEN, NO_COLOR: "1" },
+    env: environment(),
   });
   const running: Running = {
     child,
@@ -79,7 +87,7 @@
 export async function command(args: string[]): Promise<Ended> {
   const child = spawn(process.execPath, [MAIN, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
-    env: { ...process.env, MUSTARDCROSS_TOKEN: TOKEN, NO_COLOR: "1" },
+    env: environment(),
   });
   let stdout = "";
   let stderr = "";
@@ -215,6 +223,54 @@
   };
 }
 
+/** Members that control knows of. */
+export async function membersOf(fleet: Fleet): Promise<unknown[]> {
+  const status = await getJson(`http://${fleet.admin}/v1/status`);
+  return (status?.members ?? []) as unknown[];
+}
+
+async function apply(fleet: Fleet): Promise<void> {
+  const applied = await command([
+    "apply",
+    example("base.toml"),
+    example("rajkot.toml"),
+    "--admin",
+    fleet.adminAddresses.join(","),
+  ]);
+  if (applied.code !== 0) {
+    throw new Error(`apply failed: ${applied.stderr}`);
+  }
+}
+
+async function answers(caller: string): Promise<boolean> {
+  try {
+    const answer = await request(`${caller}/billing/accounts/0`);
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** Configures a fleet, and waits until each of its nodes answers calls. */
+export async function untilServing(fleet: Fleet): Promise<void> {
+  await eventually(
+    "control answers",
+    async () => await getJson(`http://${fleet.admin}/v1/status`) !== undefined,
+  );
+  await apply(fleet);
+  await eventually(
+    "all servers are registered",
+    async () => (await membersOf(fleet)).length === fleet.nodes.length,
+  );
+  await eventually("every node answers a call", async () => {
+    const ready = await Promise.all(
+      fleet.nodes.map((node) => answers(node.caller)),
+    );
+    return ready.every(Boolean);
+  });
+}
+
 /** Returns the parsed JSON at a URL, or `undefined`. */
 export async function getJson(
   url: string,
