Test that an admitted attempt whose sender left unread never starts

The wait after admission had no test that was red without it: over real sockets the queue's pace hides it. In the scenario world, on fake time, with a lag of the test's own: an attempt that must not run twice is admitted, its channel is closed while the node is late, and only then the closing is known. A sender that stays gets its answer.

--- a/tests/scenario/late_frames_test.ts
+++ b/tests/scenario/late_frames_test.ts
@@ -4,9 +4,20 @@
 import { test } from "tap";
 import type { Channel } from "../../src/network/channel.ts";
 import type { Attempt, Frame } from "../../src/network/frames.ts";
+import { type EventLoopLag, noLag } from "../../src/time/event_loop_lag.ts";
 import { startSmallWorld } from "./small_world.ts";
 import { SERVICE, type World } from "./world.ts";
 
+/** A lag whose closings are known once the test says so. */
+function heldLag(): { lag: EventLoopLag; known: () => void } {
+  let known = (): void => {};
+  const closings = new Promise<void>((resolve) => {
+    known = resolve;
+  });
+  const lag = { ...noLag, late: true, closingsKnown: () => closings };
+  return { lag, known: () => known() };
+}
+
 function attemptFor(world: World): Attempt {
   const { incarnation } = world.vm("vm1").node.guard;
   return {
@@ -96,3 +107,31 @@
   t.match(late.got, [{ kind: "refused", reason: "other_incarnation" }]);
   t.equal(world.vm("vm1").server.executions.length, 0);
 });
+
+test("an admitted attempt whose sender left unread never starts", async (t) => {
+  const { lag, known } = heldLag();
+  const world = await startSmallWorld({ seed: 1, servers: 1, lag });
+  const { guard } = world.vm("vm1").node;
+  const { channel } = await open(world);
+  await channel.send(attemptFor(world));
+  await world.timer.advance(20);
+  t.equal(guard.load().inFlight, 1);
+  channel.close();
+  await world.timer.advance(20);
+  known();
+  await world.timer.advance(2_000);
+  t.equal(world.vm("vm1").server.executions.length, 0);
+  t.equal(guard.load().inFlight, 0);
+});
+
+test("an admitted attempt whose sender stays starts", async (t) => {
+  const { lag, known } = heldLag();
+  const world = await startSmallWorld({ seed: 1, servers: 1, lag });
+  const { channel, got } = await open(world);
+  await channel.send(attemptFor(world));
+  await world.timer.advance(20);
+  t.equal(world.vm("vm1").server.executions.length, 0);
+  known();
+  await world.timer.advance(2_000);
+  t.same(got.map((one) => one.kind), ["answer"]);
+});
--- a/tests/scenario/small_world.ts
+++ b/tests/scenario/small_world.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type RoutePolicy, siteSchema } from "../../src/settings/site.ts";
+import type { EventLoopLag } from "../../src/time/event_loop_lag.ts";
 import { createWorld, SERVICE, type World } from "./world.ts";
 
 /** What a small world is made of. */
@@ -15,6 +16,8 @@
   retryRatio?: number;
   /** Longest wait at a guard, in milliseconds. */
   queueWaitMs?: number;
+  /** Lag of all nodes; none by default. */
+  lag?: EventLoopLag;
   /** Settings of the route to look. */
   look?: Partial<RoutePolicy>;
 }
@@ -27,6 +30,7 @@
   const world = createWorld({
     seed,
     servers,
+    lag: options.lag,
     site: siteSchema.parse({
       name: "small",
       domains: ["east", "west"],
--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -3,6 +3,7 @@
  * of network, calls, disks and backend servers.
  * @module
  */
+import type { EventLoopLag } from "../../src/time/event_loop_lag.ts";
 import {
   type Cancellation,
   neverCancelled,
@@ -39,6 +40,8 @@
 
 /** Options of {@link createWorld}. */
 export interface WorldOptions {
+  /** Lag of all nodes; none by default. */
+  lag?: EventLoopLag;
   seed: number;
   site: Site;
   servers: number;
@@ -148,6 +151,7 @@
       logger: silentLogger,
       supervisor,
       createBackend: vm.server.factory,
+      lag: options.lag,
     });
     const versions: number[] = [];
     node.directory.onChange(() => versions.push(node.directory.version));
