--- a/tests/scenario/small_world.ts
+++ b/tests/scenario/small_world.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type RoutePolicy, siteSchema } from "../../src/settings/site.ts";
+import type { EventLoopLag } from "../../src/time/event_loop_lag.ts";
 import { createWorld, SERVICE, type World } from "./world.ts";
 
 const SLOTS = 8;
@@ -19,6 +20,8 @@
   queueWaitMs?: number;
   /** Requests a second that a cold server gets; else it warms up by trust. */
   coldRatePerS?: number;
+  /** Lag of all nodes; none by default. */
+  lag?: EventLoopLag;
   /** Settings of the route to look. */
   look?: Partial<RoutePolicy>;
 }
@@ -31,6 +34,7 @@
   const world = createWorld({
     seed,
     servers,
+    lag: options.lag,
     site: siteSchema.parse({
       name: "small",
       domains: ["east", "west"],
