Show that callers that come again take places from those in time

Such a try carries a shorter deadline, and guards put what has the earlier deadline first.

The test sends first tries at 0.8 of what five servers can do, and 1.2 times as much that comes again, on fake time.

--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -105,6 +105,8 @@
   tenant?: string;
   repeatable?: boolean;
   body?: string;
+  /** Time that the caller has left, in milliseconds. */
+  timeoutMs?: number;
   signal?: Cancellation;
 }
 
@@ -267,7 +269,7 @@
         method,
         host: "",
         path,
-        timeoutMs: undefined,
+        timeoutMs: order.timeoutMs,
         headers,
         body: bytes,
         bodyLength: bytes.length,
