Count the objective of a request from its caller's first try

Cause: the objective was counted from when a try came here, so that a caller's third try counted as in time like a first one; its shorter deadline even put it before first ones. Places went to what was late already.

src/ingress/spent_time.ts learns, for each kind of request, the times that callers tell at first (the same ones again and again), and takes what a caller has less than the next of them for used. Guards then order, wait and turn away by the true objective. A kind whose times are not known, or a caller with a time of its own that is frequent, is treated as before; nothing is refused for it.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -27,6 +27,7 @@
 import { createHints, type Hints } from "./hints.ts";
 import { createKeyedCalls } from "./keyed.ts";
 import type { FleetOutlook } from "./search.ts";
+import { createSpentTime } from "./spent_time.ts";
 
 /** Commits claims through control's quorum. */
 export interface ClaimService {
@@ -85,6 +86,8 @@
   fingerprint: string;
   startedAt: number;
   deadlineAt: number;
+  /** Time until which the answer is worth most, if there is one. */
+  objectiveAt: number | undefined;
 }
 
 /** The parts of an ingress that its modules share. */
@@ -133,6 +136,7 @@
   const { directory, domain, timer, random, metrics } = options;
   const hints = createHints(timer);
   const sizes = createAnswerSizes();
+  const spentTime = createSpentTime();
   const policy: Policy = createPolicy(options.policy ?? DEFAULT_POLICY, {
     staleAfterMs: () =>
       directory.global?.limits.measuring.load_stale_after_ms ?? Infinity,
@@ -243,9 +247,9 @@
       rank: settings.rank,
       repeatable: settings.repeatable,
       timeLeftMs: Math.max(0, deadlineAt - timer.now()),
-      objectiveLeftMs: settings.objective_ms === undefined
+      objectiveLeftMs: routed.objectiveAt === undefined
         ? undefined
-        : settings.objective_ms - (timer.now() - routed.startedAt),
+        : routed.objectiveAt - timer.now(),
       method: call.method,
       path: call.path,
       headers: call.headers,
@@ -320,9 +324,25 @@
       fingerprint: fingerprintOf(call),
       startedAt: timer.now(),
       deadlineAt: timer.now() + timeoutOf(call, settings),
+      objectiveAt: objectiveAtOf(call, settings),
     };
   }
 
+  /** Until when an answer is worth most; its caller may have come before. */
+  function objectiveAtOf(
+    call: Call,
+    settings: RoutePolicy,
+  ): number | undefined {
+    const { objective_ms: objectiveMs } = settings;
+    if (objectiveMs === undefined) {
+      return undefined;
+    }
+    const spentMs = call.timeoutMs === undefined
+      ? 0
+      : spentTime.before(settings.class, call.timeoutMs);
+    return timer.now() + objectiveMs - spentMs;
+  }
+
   function check(routed: RoutedCall): Reply | undefined {
     const { call, settings } = routed;
     const { body, bodyLength } = call;
