Let a failing guard still turn a request away when all others are full

A guard that seemed to have room while all others were full was asked to decide at once; a server that fails fast seems to have room. Of full servers, recent failures count as time, as in choosing.

Tests: fleet_state_test.ts, search_test.ts.

--- a/src/ingress/fleet_state.ts
+++ b/src/ingress/fleet_state.ts
@@ -23,7 +23,9 @@
 /** Time that a slow spell is expected to go on, in milliseconds. */
 const SPELL_MS = 100;
 /** Estimates this close count as equal. */
-const EQUAL_SHARE = 1.15;
+const EQUAL_SHARE = 1.05;
+/** Weight of a server's recent failures against its times. */
+const FAILURE_WEIGHT = 20;
 
 /** Whether a report of it says something of the present. */
 export function isKnown({ ageMs }: Candidate): boolean {
@@ -49,6 +51,12 @@
   return Math.max(turnMs, slowMs);
 }
 
+/** Estimates what it costs to go to a server, failures counting as time. */
+function costMsAt(candidate: Candidate, usualMs: number): number {
+  const unreliability = 1 + FAILURE_WEIGHT * candidate.failures ** 2;
+  return (waitMsAt(candidate, usualMs) + usualMs) * unreliability;
+}
+
 /** Returns the server with the shortest wait, if all are known to be full. */
 export function firstFreeOfFull(
   candidates: readonly Candidate[],
@@ -58,9 +66,9 @@
     return undefined;
   }
   const workMs = usualMs();
-  const waits = candidates.map((one) => waitMsAt(one, workMs));
-  const limit = Math.min(...waits) * EQUAL_SHARE;
-  const best = candidates.filter((_, index) => waits[index] <= limit);
-  const { server } = best[random.integer(best.length)];
-  return { server, waitMs: limit };
+  const costs = candidates.map((one) => costMsAt(one, workMs));
+  const limit = Math.min(...costs) * EQUAL_SHARE;
+  const best = candidates.filter((_, index) => costs[index] <= limit);
+  const chosen = best[random.integer(best.length)];
+  return { server: chosen.server, waitMs: waitMsAt(chosen, workMs) };
 }
--- a/src/ingress/fleet_state_test.ts
+++ b/src/ingress/fleet_state_test.ts
@@ -41,5 +41,7 @@
   const slow = { ...FULL, server: "slow", reported: 1, slowness: 5 };
   const first = firstFreeOfFull([long, sent, slow, short], choice);
   t.equal(first?.server, "short");
+  const failing = { ...short, server: "failing", queued: 0, failures: 0.6 };
+  t.equal(firstFreeOfFull([failing, short], choice)?.server, "short");
   t.end();
 });
--- a/src/ingress/search.ts
+++ b/src/ingress/search.ts
@@ -87,11 +87,12 @@
     return place && known <= place.waitMs ? chooseAgain() : place?.member;
   }
 
-  /** Whether asking guards in turn would only tell what is known. */
+  /** Whether asking more guards in turn would only tell what is known. */
   function enoughIsKnown(): boolean {
-    const outlook = options.outlook?.(tried);
-    return outlook?.firstFree !== undefined ||
-      (turnedAwayBy.size > 0 && outlook?.allKnown === true);
+    const outlook = turnedAwayBy.size > 0
+      ? options.outlook?.(tried)
+      : undefined;
+    return outlook?.firstFree !== undefined || outlook?.allKnown === true;
   }
 
   /** Of the guards that turned it away, the one with the shortest wait. */
--- a/src/ingress/search_test.ts
+++ b/src/ingress/search_test.ts
@@ -66,3 +66,25 @@
   );
   t.end();
 });
+
+test("a guard that may have room is asked, then a full one must decide", (t) => {
+  const [free, ...full] = ["a", "b", "c"].map(fakeMember);
+  const search = createSearch({
+    choose: (avoid) => [free, ...full].find((one) => !avoid.has(one.server)),
+    outlook(avoid) {
+      const open = full.filter((one) => !avoid.has(one.server));
+      return avoid.has(free.server) && open.length > 0
+        ? { allKnown: true, firstFree: { member: open[0], waitMs: 50 } }
+        : { allKnown: open.length > 0 };
+    },
+  });
+  const first = search.next()!;
+  t.same([first.member.server, first.elsewhere], ["a", true], "it may fail");
+  search.turnedAway(first.member, 60);
+  const second = search.next()!;
+  t.same(
+    [second.member.server, second.elsewhere, second.last],
+    ["b", false, true],
+  );
+  t.end();
+});
