--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -32,6 +32,7 @@
 import { createHints, type Hints } from "./hints.ts";
 import { createKeyedCalls } from "./keyed.ts";
 import type { FleetOutlook } from "./search.ts";
+import { createSpentTime } from "./spent_time.ts";
 
 /** Commits claims through control's quorum. */
 export interface ClaimService {
@@ -91,6 +92,8 @@
   fingerprint: string;
   startedAt: number;
   deadlineAt: number;
+  /** Time until which the answer is worth most, if there is one. */
+  objectiveAt: number | undefined;
 }
 
 /** The parts of an ingress that its modules share. */
@@ -138,6 +141,7 @@
   const { directory, domain, timer, random, metrics } = options;
   const hints = createHints(timer);
   const sizes = createAnswerSizes();
+  const spentTime = createSpentTime();
   const policy: Policy = createPolicy(options.policy ?? DEFAULT_POLICY, {
     staleAfterMs: () =>
       directory.global?.limits.measuring.load_stale_after_ms ?? Infinity,
@@ -248,9 +252,9 @@
       rank: settings.rank,
       repeatable: settings.repeatable,
       timeLeftMs: Math.max(0, deadlineAt - timer.now()),
-      objectiveLeftMs: settings.objective_ms === undefined
+      objectiveLeftMs: routed.objectiveAt === undefined
         ? undefined
-        : settings.objective_ms - (timer.now() - routed.startedAt),
+        : routed.objectiveAt - timer.now(),
       method: call.method,
       path: call.path,
       headers: call.headers,
@@ -326,9 +330,25 @@
       fingerprint: fingerprintOf(call),
       startedAt,
       deadlineAt: startedAt + timeoutOf(call, settings),
+      objectiveAt: objectiveAtOf(call, { settings, startedAt }),
     };
   }
 
+  /** Until when an answer is worth most; its caller may have come before. */
+  function objectiveAtOf(
+    call: Call,
+    { settings, startedAt }: { settings: RoutePolicy; startedAt: number },
+  ): number | undefined {
+    const { objective_ms: objectiveMs } = settings;
+    if (objectiveMs === undefined) {
+      return undefined;
+    }
+    const spentMs = call.timeoutMs === undefined
+      ? 0
+      : spentTime.before(settings.class, call.timeoutMs);
+    return startedAt + objectiveMs - spentMs;
+  }
+
   function check(routed: RoutedCall): Reply | undefined {
     const { call, settings } = routed;
     const { body, bodyLength } = call;
--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -118,6 +118,8 @@
   tenant?: string;
   repeatable?: boolean;
   body?: string;
+  /** Time that the caller has left, in milliseconds. */
+  timeoutMs?: number;
   signal?: Cancellation;
 }
 
@@ -288,7 +290,7 @@
         method,
         host: "",
         path,
-        timeoutMs: undefined,
+        timeoutMs: order.timeoutMs,
         headers,
         body: bytes,
         bodyLength: bytes.length,
