Show that a silent guard is asked past the deadline (red)

What callers see: a request at a silent guard gets its 504 late, up to 250 ms (a new connection) or 700 ms (a whole silence, where eight others ask) past its deadline.

--- a/src/ingress/inquiry_test.ts
+++ b/src/ingress/inquiry_test.ts
@@ -6,6 +6,7 @@
 import { createFakeNetwork } from "../network/fake_network.ts";
 import type { Attempt, Frame, Load } from "../network/frames.ts";
 import { createFakeTimer } from "../time/fake_timer.ts";
+import type { Timer } from "../time/timer.ts";
 import type { ExchangeEnd } from "./conversation.ts";
 import { createExchanger } from "./exchange.ts";
 import { createPeerPool } from "./peer_pool.ts";
@@ -45,8 +46,19 @@
   streaming: false,
 };
 
+/** A timer that fires up to a millisecond early, as the runtime's does. */
+function roundingDown(timer: Timer): Timer {
+  return {
+    ...timer,
+    after: (delayMs, task) => timer.after(Math.trunc(delayMs), task),
+  };
+}
+
 /** An exchanger at one host, and a guard at another, in the test's hands. */
-async function startPair(answer: (channel: Channel, frame: Frame) => void) {
+async function startPair(
+  answer: (channel: Channel, frame: Frame) => void,
+  { deadlineAt = DEADLINE_MS, exchanges = 1 } = {},
+) {
   const timer = createFakeTimer();
   const network = createFakeNetwork(timer, 1);
   const findings: string[] = [];
@@ -73,20 +85,20 @@
         idlePingMs: 60_000,
       }),
     }),
-    timer,
+    timer: roundingDown(timer),
     silenceMs: () => SILENCE_MS,
     onSilence: ({ finding }) => findings.push(finding),
   });
-  let end: ExchangeEnd | undefined;
-  void exchanger.run({
-    address: GUARD,
-    attempt: ATTEMPT,
-    signal: neverCancelled,
-    deadlineAt: DEADLINE_MS,
-  }).then((ended) => {
-    end = ended;
-  });
-  return { timer, network, findings, end: () => end };
+  const ends: ExchangeEnd[] = [];
+  for (let order = 1; order <= exchanges; order++) {
+    void exchanger.run({
+      address: GUARD,
+      attempt: { ...ATTEMPT, attempt: { source: "ingress", order } },
+      signal: neverCancelled,
+      deadlineAt,
+    }).then((end) => ends.push(end));
+  }
+  return { timer, network, findings, ends, end: () => ends[0] };
 }
 
 function answerOf(body: string, streaming = false): Frame {
@@ -209,3 +221,33 @@
   await pair.timer.advance(4 * SILENCE_MS);
   t.ok(cut);
 });
+
+test("a deadline is not taken for a silence of the guard", async (t) => {
+  const asked: string[] = [];
+  const pair = await startPair((_, frame) => void asked.push(frame.kind), {
+    deadlineAt: 300.5,
+  });
+  await pair.timer.advance(310);
+  t.match(pair.end(), { kind: "lost", cause: /no progress/ });
+  t.same(pair.findings, []);
+  t.same(asked, ["attempt"], "the guard is asked nothing");
+});
+
+test("a silent guard is not asked past the deadline", async (t) => {
+  const deadlineAt = SILENCE_MS + 50;
+  const pair = await startPair(() => {}, { deadlineAt });
+  await pair.timer.advance(10);
+  pair.network.link("ingress", "guard").cut = true;
+  await pair.timer.advance(deadlineAt - 10);
+  t.match(pair.end(), { kind: "lost", cause: /no progress/ });
+});
+
+test("others' questions are not waited for past the deadline", async (t) => {
+  const exchanges = 12;
+  const deadlineAt = SILENCE_MS + 100;
+  const pair = await startPair(() => {}, { deadlineAt, exchanges });
+  await pair.timer.advance(10);
+  pair.network.holdUp("guard");
+  await pair.timer.advance(deadlineAt - 10);
+  t.equal(pair.ends.length, exchanges);
+});
