End the wait for a silent guard at the request's deadline

What callers saw: 504 up to 250 ms late where the guard took no connection, and up to 700 ms late where eight other requests asked it already.

Cause: asking, and waiting for others' questions, did not know the deadline.

A request whose time is up is not asked for any more; its reader then ends it at the deadline, as without a silence.

--- a/src/ingress/inquiry.ts
+++ b/src/ingress/inquiry.ts
@@ -20,7 +20,8 @@
 
 /**
  * What a silent guard turns out to be. `heard`: it went on by itself; `waited`:
- * others ask it already; `lost`: nothing more is known of the attempt.
+ * others ask it already, or the time was up; `lost`: nothing more is known of
+ * the attempt.
  */
 export const SILENCE_FINDINGS = [
   "heard",
@@ -54,7 +55,7 @@
 export interface Inquiries {
   /**
    * Resolves with the end of an attempt at a silent guard, or with nothing if
-   * the guard is to be waited for. Rejects with `StepError` if it is lost.
+   * the guard is to be waited for or the deadline has come. Rejects with `StepError` if it is lost.
    */
   settle(
     talk: Conversation,
@@ -219,12 +220,17 @@
   ): Promise<ExchangeEnd | undefined> {
     const { reader, work } = talk;
     const abandoned = createCanceller();
+    const deadline = new AbortController();
     work.onSlow?.();
     const asking = askIfFew(talk, abandoned);
     // Once the guard is heard, nobody waits for it.
     asking.catch(() => {});
     try {
-      const answer = await Promise.race([asking, reader.heard()]);
+      const answer = await Promise.race([
+        asking,
+        reader.heard(),
+        timeUp(work.deadlineAt, deadline.signal),
+      ]);
       note(talk, { silence, finding: findingOf(answer) });
       return answer === "waited" ? undefined : answer ?? undefined;
     } catch (error) {
@@ -232,8 +238,14 @@
       throw error;
     } finally {
       abandoned.cancel();
+      deadline.abort();
     }
   }
 
+  async function timeUp(at: number, signal: AbortSignal): Promise<"waited"> {
+    await sleep(timer, Math.max(0, at - timer.now()), { signal });
+    return "waited";
+  }
+
   return { settle, askState, takeUp, readerOf };
 }
