--- a/tests/known_red/main.ts
+++ b/tests/known_red/main.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { type KnownRed, readEntries } from "./entries.ts";
+import { removeStaleTests } from "./stale_tests.ts";
 import { decide, type TapRun } from "./verdict.ts";
 
 const require = createRequire(import.meta.url);
@@ -43,6 +44,7 @@
   return `flaky, counts like any other: ${entry.flaky}`;
 }
 
+removeStaleTests("dist", ".");
 const entries = readEntries(readFileSync("KNOWN-RED.txt", "utf8"));
 const verdict = decide(runTap(process.argv.slice(2)), entries);
 for (const entry of entries) {
