Do not cut an answer that a slow caller still reads at a planned stop

What callers saw: an answer that ended in the middle where its caller read slowly, and a stop held up by kept connections whose answers had begun before it.

Cause: the runtime's list of idle connections holds those whose answer was handed over, though bytes of it wait here; closing them drops these. And idle connections were closed only once, so one that was idle later stayed.

--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -67,14 +67,20 @@
   open: number;
   /** Those that have not brought a request yet. */
   withoutRequest: Set<Socket>;
+  /** Answers that were begun and have not ended. */
+  answers: Set<ServerResponse>;
 }
 
 const connectionsOf = new WeakMap<Server, Connections>();
 
 /** Keeps track of a server's connections. */
 function trackConnections(server: Server): void {
-  const connections: Connections = { open: 0, withoutRequest: new Set() };
-  const { withoutRequest } = connections;
+  const connections: Connections = {
+    open: 0,
+    withoutRequest: new Set(),
+    answers: new Set(),
+  };
+  const { withoutRequest, answers } = connections;
   connectionsOf.set(server, connections);
   server.on("connection", (socket) => {
     connections.open++;
@@ -84,7 +90,11 @@
       withoutRequest.delete(socket);
     });
   });
-  server.on("request", ({ socket }) => withoutRequest.delete(socket));
+  server.on("request", ({ socket }, response: ServerResponse) => {
+    withoutRequest.delete(socket);
+    answers.add(response);
+    response.once("close", () => answers.delete(response));
+  });
 }
 
 /** Returns how many connections of a server are open. */
@@ -92,8 +102,20 @@
   return connectionsOf.get(server)?.open ?? 0;
 }
 
+/** Whether an answer is there as a whole, but its caller has yet to take it. */
+function isBeingTaken(server: Server): boolean {
+  const answers = connectionsOf.get(server)?.answers ?? [];
+  return [...answers].some((answer) =>
+    answer.writableEnded && !answer.writableFinished
+  );
+}
+
 /** Ends the connections on which no request is under way. */
 function closeUnused(server: Server): void {
+  if (isBeingTaken(server)) {
+    // The HTTP server counts its connection as idle.
+    return;
+  }
   server.closeIdleConnections();
   // The HTTP server does not count these as idle.
   for (const socket of connectionsOf.get(server)?.withoutRequest ?? []) {
@@ -111,8 +133,11 @@
     // Right after a poll no accepted connection waits in the kernel's queue.
     setImmediate(() => {
       // The HTTP server's own close would cut connections that seem idle.
-      NetServer.prototype.close.call(server, () => resolve());
-      setTimeout(() => {
+      NetServer.prototype.close.call(server, () => {
+        clearInterval(closing);
+        resolve();
+      });
+      const closing = setInterval(() => {
         // What has come meanwhile is read before anything is closed.
         setImmediate(closeUnused, server);
       }, FIRST_REQUEST_MS);
