Answer each of the requests that came at once before a planned stop ends their connection

What callers saw: the first of requests sent one behind the other was answered, the second had run and was lost.

Cause: each answer of a stopping node says that the connection ends, and the runtime ends it after the first that says so, with the others under way.

Only the last answer that a connection waits for says so now; a request that comes later on it is not passed on.

--- a/src/http/caller_front.ts
+++ b/src/http/caller_front.ts
@@ -81,8 +81,16 @@
   const dialect = options.dialect ?? new PlainCallerDialect();
   /** Whether the other end of a connection has ended it. */
   const ended = new WeakMap<Socket, Cancellation>();
+  /** Answers that each connection still waits for. */
+  const awaited = new WeakMap<Socket, number>();
+  /** Connections whose caller was told that they end. */
+  const ending = new WeakSet<Socket>();
   let stopping = false;
 
+  function countAwaited(socket: Socket, change: number): void {
+    awaited.set(socket, (awaited.get(socket) ?? 0) + change);
+  }
+
   async function callOf(
     request: IncomingMessage,
     { signal, arrivedAt }: { signal: Cancellation; arrivedAt?: number },
@@ -123,7 +131,10 @@
       const { length } = reply.body as Uint8Array;
       headers.push(["content-length", String(length)]);
     }
-    if (stopping) {
+    const { socket } = response.req;
+    // Others that came on it are answered first.
+    if (stopping && awaited.get(socket) === 1) {
+      ending.add(socket);
       headers.push(["connection", "close"]);
     }
     response.writeHead(head.status, headers.flat());
@@ -205,6 +216,13 @@
       health(response);
       return;
     }
+    const { socket } = request;
+    if (ending.has(socket)) {
+      // It would not be answered, so it does not run.
+      return;
+    }
+    countAwaited(socket, 1);
+    response.once("close", () => countAwaited(socket, -1));
     answer(request, response).catch((error) => {
       logger.warn("caller.cut", errorFields(error));
       // An answer that was not whole must not look like one.
