--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -69,6 +69,8 @@
   accepted: number;
   /** Those that have not brought a request yet. */
   withoutRequest: Set<Socket>;
+  /** Answers that were begun and have not ended. */
+  answers: Set<ServerResponse>;
 }
 
 const connectionsOf = new WeakMap<Server, Connections>();
@@ -79,8 +81,9 @@
     open: 0,
     accepted: 0,
     withoutRequest: new Set(),
+    answers: new Set(),
   };
-  const { withoutRequest } = connections;
+  const { withoutRequest, answers } = connections;
   connectionsOf.set(server, connections);
   server.on("connection", (socket) => {
     connections.open++;
@@ -91,7 +94,11 @@
       withoutRequest.delete(socket);
     });
   });
-  server.on("request", ({ socket }) => withoutRequest.delete(socket));
+  server.on("request", ({ socket }, response: ServerResponse) => {
+    withoutRequest.delete(socket);
+    answers.add(response);
+    response.once("close", () => answers.delete(response));
+  });
 }
 
 /** Returns how many connections of a server are open. */
@@ -99,10 +106,21 @@
   return connectionsOf.get(server)?.open ?? 0;
 }
 
+/** Whether an answer is there as a whole, but its caller has yet to take it. */
+function isBeingTaken(server: Server): boolean {
+  const answers = connectionsOf.get(server)?.answers ?? [];
+  return [...answers].some((answer) =>
+    answer.writableEnded && !answer.writableFinished
+  );
+}
+
 /** Ends the connections on which no request is under way. */
 function closeUnused(server: Server): void {
-  server.closeIdleConnections();
-  // The HTTP server does not count these as idle.
+  if (!isBeingTaken(server)) {
+    // It counts a connection as idle whose answer waits for its caller.
+    server.closeIdleConnections();
+  }
+  // It does not count these as idle.
   for (const socket of connectionsOf.get(server)?.withoutRequest ?? []) {
     socket.destroy();
   }
@@ -141,8 +159,11 @@
   return new Promise((resolve) => {
     acceptWaiting(server, () => {
       // The HTTP server's own close would cut connections that seem idle.
-      NetServer.prototype.close.call(server, () => resolve());
-      setTimeout(() => {
+      NetServer.prototype.close.call(server, () => {
+        clearInterval(closing);
+        resolve();
+      });
+      const closing = setInterval(() => {
         // What has come meanwhile is read before anything is closed.
         setImmediate(closeUnused, server);
       }, FIRST_REQUEST_MS);
