--- a/tests/scenario/scenarios_a_to_c_test.ts
+++ b/tests/scenario/scenarios_a_to_b_test.ts
@@ -1,3 +1,3 @@
 import { testScenarios } from "./scenarios.ts";
 
-testScenarios("a", "c");
+testScenarios("a", "b");
--- a/tests/scenario/scenarios_n_to_o_test.ts
+++ b/tests/scenario/scenarios_c_test.ts
@@ -1,3 +1,3 @@
 import { testScenarios } from "./scenarios.ts";
 
-testScenarios("n", "o");
+testScenarios("c", "c");
--- /dev/null
+++ b/tests/scenario/scenarios_n_test.ts
@@ -0,0 +1,3 @@
+import { testScenarios } from "./scenarios.ts";
+
+testScenarios("n", "n");
