Print a verdict when the test runner can't start

tap couldn't start (its package was half installed): it wrote no results, and `npm test` ended in a stack trace for the missing file instead of its last line. Without results the verdict is now "tap ended before all test files had run" and "0 passed, 1 failed". Seen by hand in that state, red before.

Lint, types and that one run only: the whole script could not be run after it, as the tests don't start with these node_modules.

--- a/tests/known_red/main.ts
+++ b/tests/known_red/main.ts
@@ -3,7 +3,7 @@
  * KNOWN-RED.txt lists. Arguments go to tap; test files among them run alone.
  */
 import { spawnSync } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { existsSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
@@ -30,7 +30,8 @@
       ...args,
     ], { stdio: "inherit" });
     if (error) throw error;
-    const tap = readFileSync(results, "utf8");
+    // Without results, as when tap can't start, the verdict is that none ran.
+    const tap = existsSync(results) ? readFileSync(results, "utf8") : "";
     return { tap, exitCode: status, whole: args.length === 0 };
   } finally {
     rmSync(folder, { recursive: true, force: true });
