Do not cut a first attempt at its work for a failure of the second

Of a slow attempt and its second one the first answer counted, also a failure of the server, and the other attempt was cancelled though its server was at work: the caller got a 500 (or a 502 of our own in place of a server's 503) where an answer was on its way.

Change: a failure stands only once all attempts have ended. An answer goes before a failure, a failure before an unknown end, that before a refusal.

--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -6,7 +6,12 @@
 import type { Member } from "../control/commands.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import type { AttemptId } from "../network/frames.ts";
-import { attemptAt, type AttemptEnd, MEDIAN } from "./attempt.ts";
+import {
+  attemptAt,
+  type AttemptEnd,
+  FIRST_SERVER_ERROR,
+  MEDIAN,
+} from "./attempt.ts";
 import type { ServiceBudgets } from "./budget.ts";
 import type { IngressParts, RoutedCall } from "./ingress.ts";
 
@@ -38,6 +43,17 @@
   }
 }
 
+const ANSWERED_WEIGHT = 3;
+
+/** How much an end tells its caller, against the end of another attempt. */
+function weightOf(end: AttemptEnd): number {
+  if (end.kind === "answer") {
+    const failed = end.received.answer.status >= FIRST_SERVER_ERROR;
+    return failed ? 2 : ANSWERED_WEIGHT;
+  }
+  return end.kind === "unknown" ? 1 : 0;
+}
+
 /** Creates a hedger. */
 export function createHedger(
   parts: IngressParts,
@@ -155,23 +171,24 @@
     });
   }
 
-  /** Resolves with the first answer, or else with the last other end. */
+  /**
+   * Resolves with the first answer that is no failure of the server. Else, once
+   * all have ended, with a failure, an unknown end or a refusal.
+   */
   function firstAnswer(
     attempts: Promise<AttemptEnd>[],
   ): Promise<{ end: AttemptEnd; index: number }> {
     return new Promise((resolve) => {
       let open = attempts.length;
-      let unknown: { end: AttemptEnd; index: number } | undefined;
+      let best: { end: AttemptEnd; index: number } | undefined;
       attempts.forEach((one, index) =>
         one.then((end) => {
           open--;
-          if (end.kind === "unknown") {
-            unknown = { end, index };
+          if (!best || weightOf(end) > weightOf(best.end)) {
+            best = { end, index };
           }
-          if (end.kind === "answer") {
-            resolve({ end, index });
-          } else if (open === 0) {
-            resolve(unknown ?? { end, index });
+          if (open === 0 || weightOf(end) === ANSWERED_WEIGHT) {
+            resolve(best);
           }
         })
       );
--- a/tests/scenario/dispatch_test.ts
+++ b/tests/scenario/dispatch_test.ts
@@ -91,3 +91,38 @@
   const statuses = calls.map((call) => call.reply?.status);
   t.ok(statuses.every((status) => status === 200), statuses.join(" "));
 });
+
+test("a failure of a second attempt does not cut the first at its work", async (t) => {
+  const world = await startSmallWorld({
+    seed: 8,
+    servers: 2,
+    retryRatio: 1,
+    look: { hedge: true, max_attempts: 2 },
+  });
+  for (let count = 0; count < 120; count++) {
+    world.call({ via: "vm1", path: `/look/${count}` });
+    await world.timer.advance(10);
+  }
+  world.vm("vm1").server.slowness = 30;
+  world.vm("vm2").server.failStatus = 500;
+  const calls = [];
+  for (let count = 0; count < 30; count++) {
+    calls.push(world.call({ via: "vm1", path: `/look/late${count}` }));
+    await world.timer.advance(200);
+  }
+  await world.timer.advance(3_000);
+  const runs = calls.map(({ requestId }) =>
+    world.vms.flatMap((vm) => vm.server.executions)
+      .filter((execution) => execution.requestId === requestId)
+      .sort((one, other) => one.at - other.at)
+      .map(({ server }) => server)
+  );
+  const hedged = calls.filter((_, index) =>
+    runs[index][0] === "vm1" && runs[index][1] === "vm2"
+  );
+  t.ok(hedged.length > 0, "second attempts were made");
+  t.same(
+    hedged.map(({ reply }) => reply?.status),
+    hedged.map(() => 200),
+  );
+});
