--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -452,15 +452,19 @@
   /** Refuses an attempt that the ledger took in, but that did not run. */
   async function refuseStarted(
     channel: Channel,
-    { frame, refused }: { frame: Attempt; refused: Refusal },
-  ): Promise<Refused> {
+    { frame, refused, ended }: {
+      frame: Attempt;
+      refused: Refusal;
+      ended: (end: End) => void;
+    },
+  ): Promise<void> {
     ledger.set(frame.attempt, "fenced");
     notes.refused(frame, refused);
     const end = refusal(frame.attempt, refused);
+    ended(end);
     if (!channel.closed) {
       await channel.send(end);
     }
-    return end;
   }
 
   async function admitAndRun(
@@ -499,7 +503,7 @@
     metrics.timing("queue_wait", frame.class, waitedMs);
     keepalive.cancel();
     if (verdict.kind === "refused") {
-      ended(await refuseStarted(channel, { frame, refused: verdict }));
+      await refuseStarted(channel, { frame, refused: verdict, ended });
       return;
     }
     if (lag.late) {
@@ -511,7 +515,7 @@
     if (late || !backend) {
       verdict.place.release();
       const reason = late ?? "no_backend_server";
-      ended(await refuseStarted(channel, { frame, refused: { reason } }));
+      await refuseStarted(channel, { frame, refused: { reason }, ended });
       return;
     }
     const running = { channel, deadlineAt: askedAt + frame.timeLeftMs };
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -85,9 +85,11 @@
       }
       const end = await inquiries.settle(talk, next);
       if (end) {
-        // The old connection stayed silent while a new one brought an answer.
         channel.close();
-        pool.retire(channel.peer);
+        if (end.kind !== "fenced") {
+          // Silent while a new connection brought the end: others may be dead.
+          pool.retire(channel.peer);
+        }
         return end;
       }
     }
--- a/src/network/fake_network.ts
+++ b/src/network/fake_network.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { createCanceller } from "../core/cancellation.ts";
-import { StepError } from "../core/errors.ts";
+import { StepError, TimeoutError } from "../core/errors.ts";
 import type { Timer } from "../time/timer.ts";
 import type { Channel, Listener, Network } from "./channel.ts";
 import type { Frame } from "./frames.ts";
@@ -172,8 +172,11 @@
     await new Promise<void>((resolve) => timer.after(waitMs, resolve));
     const accept = listeners.get(address);
     if (lost || !accept) {
-      const message = lost ? "connect timed out" : "connection refused";
-      throw new StepError("channel.connect", message, { peer: address });
+      throw lost
+        ? new TimeoutError("channel.connect", address, timeoutMs)
+        : new StepError("channel.connect", "connection refused", {
+          peer: address,
+        });
     }
     const connection: Connection = {
       hosts: [host, target],
