--- a/src/core/request_log.ts
+++ b/src/core/request_log.ts
@@ -14,7 +14,10 @@
 export interface RequestLog {
   /** Something did not go as wished. */
   note(event: string, request: string, fields: Fields): void;
-  /** The same, where load makes it common: refusals, callers that left. */
+  /**
+   * The same, where load makes it common: refusals, callers that left. Beside
+   * the first ones of a second, all processes log the same requests.
+   */
   noteCommon(event: string, request: string, fields: () => Fields): void;
   /** All is well: logged if the request is in the sample. */
   sample(event: string, request: string, fields: () => Fields): void;
@@ -24,15 +27,24 @@
 
 /** Lines a second of one part of a process. */
 const LINES_PER_S = 20;
-/** Lines a second of one part about what load makes common. */
+/** Lines a second of one part about what load makes common, of any request. */
 const COMMON_LINES_PER_S = 4;
+/** The same, of requests that all processes log. */
+const CHOSEN_LINES_PER_S = 8;
+/** One request in so many is one of these. */
+const CHOSEN_PERIOD = 8;
 /** One request in so many is in the sample. */
 const SAMPLE_PERIOD = 128;
 const encoder = new TextEncoder();
 
+/** Whether a request is one in `period`; the same in every process. */
+function isChosen(request: string, period: number): boolean {
+  return hash32(encoder.encode(request)) % period === 0;
+}
+
 /** Whether a request is in the sample; the same in every process. */
 export function isSampled(request: string): boolean {
-  return hash32(encoder.encode(request)) % SAMPLE_PERIOD === 0;
+  return isChosen(request, SAMPLE_PERIOD);
 }
 
 /** Creates a log of requests. */
@@ -44,10 +56,16 @@
     ...options,
     perSecond: COMMON_LINES_PER_S,
   });
+  const chosen = createLimitedLog({
+    ...options,
+    perSecond: CHOSEN_LINES_PER_S,
+  });
   return {
     note: (event, request, fields) => log.info(event, { request, ...fields }),
-    noteCommon: (event, request, fields) =>
-      common.infoOf(event, () => ({ request, ...fields() })),
+    noteCommon(event, request, fields) {
+      const log = isChosen(request, CHOSEN_PERIOD) ? chosen : common;
+      log.infoOf(event, () => ({ request, ...fields() }));
+    },
     sample(event, request, fields) {
       if (isSampled(request)) {
         log.info(event, { request, ...fields() });
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -247,6 +247,7 @@
     label: "finding",
     values: [...SILENCE_FINDINGS],
   });
+  metrics.count("left_unread", 0);
   metrics.gauge("view_version", () => directory.version);
   metrics.gauge("view_age_seconds", () => (timer.now() - sync.heardAt) / 1_000);
   metrics.gauge("requests_in_flight", () => ingress.inFlight);
