Do not take a server whose health check is late for crashed

After a reset a guard asks for its server's health; no answer within 250 ms counted as a crash: what ran was accused (twice means refused everywhere), the server marked down and cold, and all that waited refused. A server or a guard that is late is enough.

Change: a health check that does not come in time proves nothing. A refused or reset connection, or another instance at the address, does.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -385,8 +385,9 @@
   async function examineReset(fingerprint: string): Promise<void> {
     crashes.noteReset(fingerprint);
     const boot = link.announced?.boot;
-    const alive = await link.probe();
-    if (!alive && boot === link.announced?.boot && !link.down) {
+    const condition = await link.examine();
+    const same = boot === link.announced?.boot;
+    if (condition === "gone" && same && !link.down) {
       crashes.accuse(`${vm} ${boot}`);
       goDown("crash");
     }
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -8,12 +8,13 @@
 import type { Logger } from "../core/logger.ts";
 import type { Timer } from "../time/timer.ts";
 import { readAway } from "./answer_body.ts";
-import type {
-  Backend,
-  BackendAnswer,
-  BackendFactory,
-  BackendVerdict,
-  ServerReport,
+import {
+  type Backend,
+  type BackendAnswer,
+  BackendError,
+  type BackendFactory,
+  type BackendVerdict,
+  type ServerReport,
 } from "./backend.ts";
 
 /** A backend server as it announced itself. */
@@ -37,6 +38,12 @@
 /** What an announcement means. */
 export type AnnouncementResult = "new" | "renewed" | "repeated" | "outdated";
 
+/**
+ * What a health check shows of a backend server. `unknown`: it did not answer in
+ * time, since it, or this process, is late; that is no proof of anything.
+ */
+export type ServerCondition = "well" | "gone" | "unknown";
+
 /** Options of {@link createServerLink}. */
 export interface ServerLinkOptions {
   timer: Timer;
@@ -74,6 +81,8 @@
   markDown(): boolean;
   /** Checks its health once. */
   probe(): Promise<boolean>;
+  /** The same, and whether a failure proves that the server is gone. */
+  examine(): Promise<ServerCondition>;
   /** Notes what the head of an answer said of the server. */
   noteVerdict(verdict: BackendVerdict): void;
   /** Load as the server last reported it. */
@@ -198,6 +207,27 @@
     }
   }
 
+  async function examine(): Promise<ServerCondition> {
+    const target = backend;
+    if (!target || !announced) {
+      return "gone";
+    }
+    probes++;
+    try {
+      if (!await check(target, announced)) {
+        return "gone";
+      }
+    } catch (error) {
+      const late = error instanceof BackendError && error.failure === "aborted";
+      return late ? "unknown" : "gone";
+    }
+    if (down && target === backend) {
+      down = false;
+      logger.info("guard.backend_answers", { boot: announced.boot });
+    }
+    return "well";
+  }
+
   return {
     get announced() {
       return announced;
@@ -246,24 +276,7 @@
       down = true;
       return news;
     },
-    async probe() {
-      const target = backend;
-      if (!target || !announced) {
-        return false;
-      }
-      probes++;
-      try {
-        if (!await check(target, announced)) {
-          return false;
-        }
-      } catch {
-        return false;
-      }
-      if (down && target === backend) {
-        down = false;
-        logger.info("guard.backend_answers", { boot: announced.boot });
-      }
-      return true;
-    },
+    examine,
+    probe: async () => await examine() === "well",
   };
 }
--- a/tests/scenario/fake_backend.ts
+++ b/tests/scenario/fake_backend.ts
@@ -53,6 +53,8 @@
   cutsBodies: boolean;
   /** Answers whose bodies begin, and then neither go on nor end. */
   endless: boolean;
+  /** Whether its health checks are not answered. */
+  checksHang: boolean;
   /** Whether its health check says that it leaves. */
   leaves: boolean;
   crash(): void;
@@ -174,6 +176,9 @@
       throw failure("connect", vm);
     }
     if (request.path === HEALTH_PATH) {
+      if (server.checksHang) {
+        await pause(NEVER_MS, request);
+      }
       return {
         status: server.leaves ? 503 : 200,
         headers: [],
@@ -226,6 +231,7 @@
     hangs: false,
     cutsBodies: false,
     endless: false,
+    checksHang: false,
     leaves: false,
     crash,
     start() {
--- a/tests/scenario/held_up_test.ts
+++ b/tests/scenario/held_up_test.ts
@@ -81,3 +81,15 @@
   t.same(calls.map((call) => runsOf(world, call)), [1, 1]);
   t.same(alwaysBroken(world), []);
 });
+
+test("a server whose health check is late is not taken for crashed", async (t) => {
+  const world = await startWorld(24);
+  const { server, node } = world.vm("vm2");
+  await world.timer.advance(1_000);
+  server.checksHang = true;
+  server.cutsBodies = true;
+  await beginCalls(world, { path: "/look/1" });
+  await world.timer.advance(1_000);
+  t.ok(node.guard.load().allowed > 0, "it is not taken for down");
+  t.equal(node.guard.status().suspects, 0, "no request is accused");
+});
