Let a replica take part again only once its disk can be written

Seen: with its disk still full, a replica came back as a follower a second after each failure, and failed again at its next write. Until then it answered heartbeats without entries as a follower, so that its leader counted it for the quorum. Cause: beginning anew only reads the disk. Now the vote that was read is written again first; if that fails the replica stays out. The vote is the same as before, so no vote is given twice.

--- a/src/control/recovery.ts
+++ b/src/control/recovery.ts
@@ -73,8 +73,9 @@
   }
 
   /**
-   * Begins anew with what the disk holds. Whatever was not made durable is
-   * gone from memory too, so that nothing is told that the disk may lack.
+   * Begins anew with what the disk holds, once it can be written again.
+   * Whatever was not made durable is gone from memory too, so that nothing is
+   * told that the disk may lack.
    */
   async function reopen(): Promise<void> {
     await sleep(timer, REOPEN_MS, { signal });
@@ -83,6 +84,8 @@
     }
     local.restart();
     try {
+      const { vote } = await store.recover();
+      await store.saveVote(vote);
       await enter();
       failure = "";
     } catch (error) {
