Do not count a replica that takes no part as an answer to its leader

Seen by operators: with two of three disks full a change was never answered, as the leader went on leading without a quorum that could hold anything. Seen by the leader's host: 452 calls in ten heartbeats to one such follower, at 1 ms each way; 10 are due. Cause: a replica that failed, or goes by another identity, answers entries like one whose log does not match. The leader took that for a sign of life, and sent again at once. Now such a reply says that it is a refusal: it counts for no quorum and is followed by a pause of one heartbeat. The term that it tells of is still heeded. A replica of an earlier version does not say so and is treated as before. Ruled out: no answer at all in place of a refusal; the leader would miss a newer term.

--- a/src/control/follower_handlers.ts
+++ b/src/control/follower_handlers.ts
@@ -30,7 +30,10 @@
         accepted: false,
         lastIndex: local.log?.lastIndex ?? 0,
       };
-      if (!local.isMeant(request.to) || request.term < ballot.term) {
+      if (!local.isMeant(request.to)) {
+        return { ...refuse, refused: true as const };
+      }
+      if (request.term < ballot.term) {
         return refuse;
       }
       await ballot.adopt(request.term);
--- a/src/control/methods.ts
+++ b/src/control/methods.ts
@@ -24,6 +24,9 @@
  */
 const to = z.string();
 
+/** Set by a replica that takes no part, or is not the one that was meant. */
+const refused = z.literal(true).optional();
+
 /** Asks for a vote; `pre` asks only whether a vote would be granted. */
 export const voteMethod = defineMethod("vote", {
   request: z.object({
@@ -54,6 +57,7 @@
     term: z.number(),
     accepted: z.boolean(),
     lastIndex: z.number(),
+    refused,
   }),
 });
 
--- a/src/control/replication.ts
+++ b/src/control/replication.ts
@@ -45,6 +45,13 @@
   answeredAt(replica: ReplicaInfo): number;
 }
 
+/** What every reply of a peer tells. */
+interface PeerReply {
+  term: number;
+  /** The peer takes no part: it neither holds entries nor counts for a quorum. */
+  refused?: true;
+}
+
 interface Progress {
   replica: ReplicaInfo;
   next: number;
@@ -62,8 +69,8 @@
   const answered = createBell(timer);
   const startedAt = timer.now();
 
-  /** Calls a peer; a call that fails is followed by a pause. */
-  async function callPeer<Q, R>(
+  /** Calls a peer; a call that fails or is refused is followed by a pause. */
+  async function callPeer<Q, R extends PeerReply>(
     peer: Progress,
     method: Method<Q, R>,
     request: Q,
@@ -74,9 +81,12 @@
       request,
       timeoutMs: tuning.callMs,
     });
-    if (reply.isOk()) {
+    if (reply.isOk() && !reply.value.refused) {
       return reply.value;
     }
+    if (reply.isOk()) {
+      isOver(reply.value);
+    }
     await sleep(timer, tuning.heartbeatMs, { signal });
     return undefined;
   }
