--- a/src/control/follower_handlers.ts
+++ b/src/control/follower_handlers.ts
@@ -67,7 +67,10 @@
   rpc.handle(snapshotMethod, (request) =>
     serial.run(async () => {
       const refuse = { term: ballot.term, received: 0 };
-      if (!local.isMeant(request.to) || request.term < ballot.term) {
+      if (!local.isMeant(request.to)) {
+        return { ...refuse, refused: true as const };
+      }
+      if (request.term < ballot.term) {
         return refuse;
       }
       await ballot.adopt(request.term);
--- a/src/control/methods.ts
+++ b/src/control/methods.ts
@@ -75,7 +75,7 @@
     bytes: z.instanceof(Uint8Array),
     last: z.boolean(),
   }),
-  reply: z.object({ term: z.number(), received: z.number() }),
+  reply: z.object({ term: z.number(), received: z.number(), refused }),
 });
 
 /** Asks a peer, at a start, what it knows of the cluster and of the caller. */
