End a call in its time limit where this replica leads, too

Seen by operators: a change at the leader waited for as long as it led, while the same change through a follower was told unknown after 3 s at most. Cause: the time limit was set on the call to another replica only. Now it ends the wait for this replica's own answer as well, with unknown: the entry may still be committed, and the change id makes a repetition harmless. Evidence: src/control/leader_calls_test.ts, "a call that this replica answers itself ends in its time limit" (new; not run without the fix, where its call never ends).

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -55,8 +55,8 @@
   stop(): Promise<void>;
   /**
    * Makes a change through whichever replica leads. The end of its leadership
-   * ends it with `unknown`; the time limit holds for the call to another
-   * replica only. Nothing tells the leader that the caller no longer waits.
+   * or the time limit, wherever the leader is, ends it with `unknown`. Nothing
+   * tells the leader that the caller no longer waits.
    */
   change(
     change: z.infer<typeof changeMethod.request>,
--- a/src/control/leader_calls.ts
+++ b/src/control/leader_calls.ts
@@ -3,8 +3,9 @@
  * @module
  */
 import type { Result } from "neverthrow";
+import { TimeoutError } from "../core/errors.ts";
 import type { Method, Rpc } from "../rpc/rpc.ts";
-import { sleep, type Timer } from "../time/timer.ts";
+import { sleep, type Timer, withTimeout } from "../time/timer.ts";
 import type { Command } from "./commands.ts";
 import { confirmMethod, type LeaderReply } from "./node_methods.ts";
 import type { ProposalError } from "./proposals.ts";
@@ -29,7 +30,7 @@
 /** A call that this replica answers itself while it leads. */
 export interface LeaderCall<Q, T> {
   request: Q;
-  /** Longest wait for another replica in milliseconds. */
+  /** Longest wait for the answer in milliseconds, this replica's own too. */
   timeoutMs: number;
   local: () => Promise<LeaderReply<T>>;
 }
@@ -73,12 +74,28 @@
     return replica.status().role === "leader";
   }
 
+  function answerHere<T>(
+    local: () => Promise<LeaderReply<T>>,
+    timeoutMs: number,
+  ): Promise<LeaderReply<T>> {
+    return withTimeout(timer, local(), {
+      step: "control.call",
+      peer: address,
+      timeoutMs,
+    }).catch((error) => {
+      if (error instanceof TimeoutError) {
+        return { kind: "unknown", leader: address };
+      }
+      throw error;
+    });
+  }
+
   async function call<Q, T>(
     method: Method<Q, LeaderReply<T>>,
     { request, timeoutMs, local }: LeaderCall<Q, T>,
   ): Promise<LeaderReply<T>> {
     if (leads()) {
-      return await local();
+      return await answerHere(local, timeoutMs);
     }
     const { leader } = replica.status();
     if (!leader || leader === address) {
--- a/src/control/leader_calls_test.ts
+++ b/src/control/leader_calls_test.ts
@@ -64,6 +64,22 @@
   t.same(await reply, { kind: "unknown", leader: LEADER });
 });
 
+test("a call that this replica answers itself ends in its time limit", async (t) => {
+  const { timer, replica, calls } = await build();
+  replica.shown.role = "leader";
+  const reply = calls.call(confirmMethod, {
+    request: {},
+    timeoutMs: 50,
+    local: () => new Promise(() => {}),
+  });
+  await timer.advance(60);
+  const open = new Promise((resolve) => setImmediate(() => resolve("open")));
+  t.same(await Promise.race([reply, open]), {
+    kind: "unknown",
+    leader: ADDRESS,
+  });
+});
+
 test("a call without a leader, or to oneself, is not made", async (t) => {
   const { replica, calls } = await build();
   for (const leader of ["", ADDRESS]) {
