Keep who was called lost until that node is asked about again

Seen by nodes: one whose lease was gone was not told so at any of ten syncs, while others renewed at the same replica; it went on without a registration. Cause: each batch of renewals (500 ms) replaced the list of the lost, and a node syncs each 1,000 ms. Now a batch changes only what it asked about. An answer that no node asks for again is dropped after 60 s.

--- a/src/control/lease_keeper.ts
+++ b/src/control/lease_keeper.ts
@@ -15,6 +15,8 @@
 const RENEWAL_BATCH_MS = 500;
 /** Longest wait for the leader to take renewals, in milliseconds. */
 const RENEWAL_TIMEOUT_MS = 700;
+/** Time for which an answer is kept that no node asks for, in milliseconds. */
+const LOST_KEPT_MS = 60_000;
 /** Interval at which a leader looks at leases, in milliseconds. */
 const LEASE_CHECK_MS = 500;
 /** Lease of a member before there is a configuration, in milliseconds. */
@@ -37,7 +39,7 @@
 export interface LeaseKeeper {
   /** Takes a node's renewal, to be passed on with the next batch. */
   note(renewal: Renewal): void;
-  /** Whether the leader called a registration lost in the newest batch. */
+  /** Whether the leader called a registration lost when it was last asked. */
   isLost(renewal: Renewal): boolean;
   /** Renews leases as leader. */
   renew(batch: Renewal[]): LeaderReply<{ lost: Renewal[] }>;
@@ -51,9 +53,22 @@
 export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
   const { state, calls, recorder, timer, logger, signal } = options;
   const renewals = new Map<string, Renewal>();
-  let lost = new Set<string>();
+  /** Registrations that the leader called lost, and when it did. */
+  const lost = new Map<string, number>();
   let leases: LeaseBook | undefined;
 
+  /** Notes the leader's answer to a batch; what is not asked for is dropped. */
+  function noteLost(batch: Renewal[], gone: Renewal[]): void {
+    const now = timer.now();
+    batch.forEach((renewal) => lost.delete(registrationKey(renewal)));
+    gone.forEach((renewal) => lost.set(registrationKey(renewal), now));
+    for (const [key, since] of lost) {
+      if (now - since > LOST_KEPT_MS) {
+        lost.delete(key);
+      }
+    }
+  }
+
   function unknownTo(renewal: Renewal): boolean {
     const member = state.member(renewal.server);
     return member?.incarnation !== renewal.incarnation;
@@ -86,7 +101,7 @@
           local: () => Promise.resolve(renew(batch)),
         });
         if (reply.kind === "done") {
-          lost = new Set(reply.value.lost.map(registrationKey));
+          noteLost(batch, reply.value.lost);
         }
       }
     },
