Call a registration lost only once a quorum has confirmed the leader

Seen by nodes: after a start of all replicas, members were told that their lease was lost, and registered again.

Now a leader that does not know a renewed registration confirms with a quorum first, as a read does; if that fails nobody is called lost. The renewals themselves count at once. In lease_keeper_test.ts two calls are awaited, as renewing now takes a while; what they check is the same.

--- a/src/control/lease_keeper.ts
+++ b/src/control/lease_keeper.ts
@@ -41,8 +41,11 @@
   note(renewal: Renewal): void;
   /** Whether the leader called a registration lost when it was last asked. */
   isLost(renewal: Renewal): boolean;
-  /** Renews leases as leader. */
-  renew(batch: Renewal[]): LeaderReply<{ lost: Renewal[] }>;
+  /**
+   * Renews leases as leader. A registration is called lost only once a quorum
+   * has confirmed that this replica leads and holds all that was accepted.
+   */
+  renew(batch: Renewal[]): Promise<LeaderReply<{ lost: Renewal[] }>>;
   /** Passes renewals on until the replica stops. */
   passOn(): Promise<void>;
   /** Removes members without a lease, while this replica leads. */
@@ -74,13 +77,20 @@
     return member?.incarnation !== renewal.incarnation;
   }
 
-  function renew(batch: Renewal[]): LeaderReply<{ lost: Renewal[] }> {
+  async function renew(
+    batch: Renewal[],
+  ): Promise<LeaderReply<{ lost: Renewal[] }>> {
     if (!calls.leads()) {
       return { kind: "not_leader", leader: options.leader() };
     }
     leases ??= createLeaseBook(timer);
     leases.renew(batch);
-    return { kind: "done", value: { lost: batch.filter(unknownTo) } };
+    const confirmed = batch.some(unknownTo)
+      ? await calls.confirmHere()
+      : undefined;
+    return confirmed && confirmed.kind !== "done"
+      ? confirmed
+      : { kind: "done", value: { lost: batch.filter(unknownTo) } };
   }
 
   return {
@@ -98,7 +108,7 @@
         const reply = await calls.call(renewMethod, {
           request: { renewals: batch },
           timeoutMs: RENEWAL_TIMEOUT_MS,
-          local: () => Promise.resolve(renew(batch)),
+          local: () => renew(batch),
         });
         if (reply.kind === "done") {
           noteLost(batch, reply.value.lost);
--- a/src/control/lease_keeper_test.ts
+++ b/src/control/lease_keeper_test.ts
@@ -55,7 +55,7 @@
 test("a follower passes renewals on together, and keeps who is lost", async (t) => {
   const { timer, keeper, passedOn } = await build();
   void keeper.passOn();
-  t.same(keeper.renew([KNOWN]), { kind: "not_leader", leader: LEADER });
+  t.same(await keeper.renew([KNOWN]), { kind: "not_leader", leader: LEADER });
   keeper.note(KNOWN);
   keeper.note(KNOWN);
   keeper.note(GONE);
@@ -70,7 +70,7 @@
   replica.shown.role = "leader";
   void keeper.expire();
   for (let count = 0; count < 20; count++) {
-    t.same(keeper.renew([KNOWN]), { kind: "done", value: { lost: [] } });
+    t.same(await keeper.renew([KNOWN]), { kind: "done", value: { lost: [] } });
     await timer.advance(500);
   }
   t.same(replica.proposed, []);
--- a/src/control/node_handlers.ts
+++ b/src/control/node_handlers.ts
@@ -55,10 +55,7 @@
 /** Answers what only the leader can do. */
 export function handleLeaderCalls(parts: NodeHandlerParts): void {
   const { rpc, calls, keeper } = parts;
-  rpc.handle(
-    renewMethod,
-    (request) => Promise.resolve(keeper.renew(request.renewals)),
-  );
+  rpc.handle(renewMethod, (request) => keeper.renew(request.renewals));
   rpc.handle(
     registerMethod,
     (request) => calls.propose({ kind: "register", ...request }),
