Record that a lease ran out only once that is accepted

Cause: the event was recorded before the removal was proposed, whatever became of that. Now only a removal that was accepted and changed something is recorded; one without a result is logged as member.expiry_failed.

--- a/src/control/lease_keeper.ts
+++ b/src/control/lease_keeper.ts
@@ -6,6 +6,7 @@
 import type { Recorder } from "../account/events.ts";
 import type { Logger } from "../core/logger.ts";
 import { sleep, type Timer } from "../time/timer.ts";
+import type { Member } from "./commands.ts";
 import type { LeaderCalls } from "./leader_calls.ts";
 import { createLeaseBook, type LeaseBook, registrationKey } from "./leases.ts";
 import { type LeaderReply, type Renewal, renewMethod } from "./node_methods.ts";
@@ -93,6 +94,31 @@
       : { kind: "done", value: { lost: batch.filter(unknownTo) } };
   }
 
+  /** Removes a member; only what was accepted is recorded. */
+  async function expireOne(member: Member): Promise<void> {
+    const { server, service, domain, incarnation } = member;
+    const reply = await calls.propose<boolean>({
+      kind: "expire",
+      server,
+      incarnation,
+      cause: "lease",
+    });
+    if (reply.kind !== "done") {
+      logger.warn("member.expiry_failed", { server, reason: reply.kind });
+      return;
+    }
+    if (reply.value) {
+      logger.warn("member.lease_expired", { server });
+      recorder.record({
+        kind: "member",
+        server,
+        service,
+        domain,
+        cause: "the lease ran out",
+      });
+    }
+  }
+
   return {
     note: (renewal) => renewals.set(registrationKey(renewal), renewal),
     isLost: (renewal) => lost.has(registrationKey(renewal)),
@@ -125,21 +151,7 @@
         leases ??= createLeaseBook(timer);
         const leaseMs = state.site?.timeouts.lease_ms ?? DEFAULT_LEASE_MS;
         for (const member of leases.expired(state.members(), leaseMs)) {
-          const { server, service, domain, incarnation } = member;
-          logger.warn("member.lease_expired", { server });
-          recorder.record({
-            kind: "member",
-            server,
-            service,
-            domain,
-            cause: "the lease ran out",
-          });
-          await calls.propose({
-            kind: "expire",
-            server,
-            incarnation,
-            cause: "lease",
-          });
+          await expireOne(member);
         }
       }
     },
