Count no lease down while the leader itself is held up

Seen by callers' nodes: after a pause of the only replica members were removed that had renewed all the time (10 s; at 18 of 25 moments within a second). Now the time by which a check comes late is added to every lease. Members that are really gone are removed by that much later. Ruled out: a whole new lease after each delay, which a host that is late often would prolong for ever.

--- a/src/control/lease_keeper.ts
+++ b/src/control/lease_keeper.ts
@@ -142,13 +142,17 @@
       }
     },
     async expire() {
+      let lookedAt = timer.now();
       while (!signal.aborted) {
         await sleep(timer, LEASE_CHECK_MS, { signal });
+        const lateMs = timer.now() - lookedAt - LEASE_CHECK_MS;
+        lookedAt = timer.now();
         if (!calls.leads()) {
           leases = undefined;
           continue;
         }
         leases ??= createLeaseBook(timer);
+        leases.heldUp(Math.max(0, lateMs));
         const leaseMs = state.site?.timeouts.lease_ms ?? DEFAULT_LEASE_MS;
         for (const member of leases.expired(state.members(), leaseMs)) {
           await expireOne(member);
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -11,6 +11,11 @@
 export interface LeaseBook {
   /** Renews leases. */
   renew(renewals: readonly Renewal[]): void;
+  /**
+   * This process was held up for a time, in which renewals may have come that
+   * it has not read: the time counts against no lease.
+   */
+  heldUp(durationMs: number): void;
   /** Returns the members whose lease has run out. */
   expired(members: readonly Member[], leaseMs: number): Member[];
 }
@@ -30,6 +35,11 @@
         renewedAt.set(registrationKey(renewal), timer.now());
       }
     },
+    heldUp(durationMs) {
+      for (const [name, since] of renewedAt) {
+        renewedAt.set(name, Math.min(timer.now(), since + durationMs));
+      }
+    },
     expired(members, leaseMs) {
       const current = new Set(members.map(registrationKey));
       for (const name of renewedAt.keys()) {
--- a/src/control/leases_test.ts
+++ b/src/control/leases_test.ts
@@ -16,3 +16,15 @@
   leases.renew([early]);
   t.same(leases.expired([early, late], LEASE_MS), [late]);
 });
+
+test("the time for which the process was held up counts against no lease", async (t) => {
+  const timer = createFakeTimer();
+  const leases = createLeaseBook(timer);
+  const member = fakeMember("vm1");
+  leases.renew([member]);
+  await timer.advance(3 * LEASE_MS);
+  leases.heldUp(2 * LEASE_MS);
+  t.same(leases.expired([member], LEASE_MS), []);
+  await timer.advance(1);
+  t.same(leases.expired([member], LEASE_MS), [member]);
+});
