Stand for election and join also after a first disk access that failed

Seen by operators: a replica that started on a full disk followed for good once the disk worked again; as the only one, it never led. Cause: the tasks that stand for election and ask to join were started only if the first entrance succeeded. Now they are started either way; they do nothing before the replica takes part.

--- a/src/control/joining.ts
+++ b/src/control/joining.ts
@@ -24,8 +24,10 @@
   while (!signal.aborted) {
     await sleep(timer, tuning.electionMs, { signal });
     const { identity, address } = local.info;
-    const known = isMember(local.openLog().membership, identity);
-    if (local.role !== "learner" || known) {
+    if (
+      local.role !== "learner" ||
+      isMember(local.openLog().membership, identity)
+    ) {
       continue;
     }
     const addresses = [
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -153,8 +153,8 @@
     try {
       await recovery.enter();
     } catch (error) {
+      // It enters once the disk works; the tasks below wait for that.
       recovery.fail(error);
-      return;
     }
     supervisor.start("replica.election", elections.run);
     supervisor.start(
