Do not say that no cluster was formed before the disk is read

Seen: with two damaged disks of three, a replica with an empty third one founded a new cluster; a change that was accepted in the old one was gone. Cause: a replica that has not read its disk, or cannot, answered formed: false, the same as one whose disk is empty. Now it leaves the field out, which counts as no answer: neither for founding nor for vouching. Tried: not answering at all.

--- a/src/control/entrance.ts
+++ b/src/control/entrance.ts
@@ -89,8 +89,9 @@
     if (reply.isErr()) {
       return undefined;
     }
-    options.onMembers(reply.value.members);
-    return reply.value;
+    const { formed, rolledBack, members } = reply.value;
+    options.onMembers(members);
+    return formed === undefined ? undefined : { formed, rolledBack };
   }
 
   /**
--- a/src/control/entrance_handlers.ts
+++ b/src/control/entrance_handlers.ts
@@ -9,12 +9,15 @@
 import type { OwnLeadership } from "./own_leadership.ts";
 import type { ReplicaParts } from "./replica_parts.ts";
 
-/** Tells a starting replica what is known of the cluster and of its disk. */
+/**
+ * Tells a starting replica what is known of the cluster and of its disk.
+ * Before its own disk was read, a replica does not say whether there is one.
+ */
 export function handleHellos(parts: ReplicaParts, marks: DurableMarks): void {
   const { local, ballot, rpc } = parts;
   rpc.handle(helloMethod, (request) =>
     Promise.resolve({
-      formed: ballot.term > 0 || (local.log?.lastIndex ?? 0) > 1,
+      formed: local.log && (ballot.term > 0 || local.log.lastIndex > 1),
       rolledBack: marks.isRolledBack(request),
       members: local.log?.membership ?? NO_MEMBERS,
     }));
--- a/src/control/methods.ts
+++ b/src/control/methods.ts
@@ -86,7 +86,8 @@
     term: z.number(),
   }),
   reply: z.object({
-    formed: z.boolean(),
+    /** Absent as long as the replica has not read its disk. */
+    formed: z.boolean().optional(),
     rolledBack: z.boolean(),
     members: membershipSchema,
   }),
