Hand leadership over to a follower that answers

Seen by callers of control: at a planned stop of the leader of five, with control2 dead, 800 ms without a leader; an election timeout is 600 ms. Cause: the most advanced follower is asked to take over, and where nothing was changed meanwhile a dead one is as advanced as the others. Now those that answered within an election timeout come first, and among equally advanced ones the one that answered last.

--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -158,6 +158,18 @@
     answeringMs: tuning.electionMs,
   };
 
+  /** The most advanced voter, those that answer before those that are silent. */
+  function successor(): ReplicaInfo | undefined {
+    const others = voters().filter((one) => one.identity !== self.identity);
+    const answering = others.filter((one) =>
+      peers.silenceMs(one) <= tuning.electionMs
+    );
+    return (answering.length > 0 ? answering : others)
+      .sort((one, other) =>
+        matchedBy(other) - matchedBy(one) || answeredAt(other) - answeredAt(one)
+      )[0];
+  }
+
   /** Looks after quorum and membership until leadership ends. */
   async function watch(): Promise<void> {
     while (!signal.aborted) {
@@ -190,9 +202,7 @@
     admit,
     async handOver() {
       handingOver = true;
-      const target = voters()
-        .filter((voter) => voter.identity !== self.identity)
-        .sort((one, other) => matchedBy(other) - matchedBy(one))[0];
+      const target = successor();
       if (target) {
         await handOverTo(target, {
           ...options,
