Wait for changes under way when the only replica stops

Seen by operators: a change under way when the only replica stopped was told unknown, though its entry was durable before the process ended. Cause: without another voter there is nobody to hand over to, and nothing was waited for. Now everything appended is committed first, for an election timeout at most.

--- a/src/control/handover.ts
+++ b/src/control/handover.ts
@@ -28,6 +28,27 @@
   matchedBy: (replica: ReplicaInfo) => number;
 }
 
+/**
+ * Waits until everything appended is committed, where nobody can take over. An
+ * election timeout or the end of leadership ends the wait; what is not
+ * committed by then is told `unknown`.
+ */
+export async function settleChanges(
+  options: Pick<
+    HandoverOptions,
+    "log" | "timer" | "signal" | "tuning" | "answered"
+  >,
+): Promise<void> {
+  const { log, timer, signal, tuning, answered } = options;
+  const deadline = timer.now() + tuning.electionMs;
+  while (
+    timer.now() < deadline && !signal.aborted &&
+    log.commitIndex < log.lastIndex
+  ) {
+    await answered.wait(tuning.heartbeatMs);
+  }
+}
+
 /**
  * Waits until a follower holds everything and everything is committed, then
  * tells it to stand for election. An election timeout or the end of leadership
--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from "../core/logger.ts";
 import { sleep } from "../time/timer.ts";
-import { handOverTo } from "./handover.ts";
+import { handOverTo, settleChanges } from "./handover.ts";
 import type { Entry, Membership, ReplicaInfo } from "./log_store.ts";
 import {
   isMember,
@@ -203,14 +203,11 @@
     async handOver() {
       handingOver = true;
       const target = successor();
+      const handover = { ...options, signal, answered, wake, matchedBy };
       if (target) {
-        await handOverTo(target, {
-          ...options,
-          signal,
-          answered,
-          wake,
-          matchedBy,
-        });
+        await handOverTo(target, handover);
+      } else {
+        await settleChanges(handover);
       }
     },
   };
