Give the stand-in's slot back when a caller leaves within its body

Cause: reading the body throws, and the slot was given back only after that. Evidence, red before: src/standin/backend_server_test.ts.

--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -191,7 +191,11 @@
     note();
     const asked = Number(url.searchParams.get("ms") ?? 0);
     const deadlineMs = Number(request.headers["mustardcross-timeout-ms"]);
-    const body = await bodyOf(request);
+    const body = await bodyOf(request).catch((error) => {
+      inFlight--;
+      note();
+      throw error;
+    });
     const work = asked > 0 ? asked : workMs();
     const limit = Number.isFinite(deadlineMs) && deadlineMs > 0
       ? deadlineMs
