Bound a batch of entries by its bytes

Seen by a follower that lacks a few large changes: it never caught up. Five changes of 4 MiB, the largest that the administration API takes, made one call of 20,971,880 bytes; 16,777,216 are allowed, so that each call failed. Cause: a batch was bounded by 256 entries alone. Now it holds 8 MiB at most, or one entry. The size of an entry is known from its writing, and worked out once where it was not written by this process.

--- a/src/control/log_store.ts
+++ b/src/control/log_store.ts
@@ -118,6 +118,21 @@
   return record;
 }
 
+const entrySizes = new WeakMap<Entry, number>();
+
+/** Size of an entry's record in bytes. */
+export function entryBytes(entry: Entry): number {
+  const size = entrySizes.get(entry) ?? encodeRecord(entry).length;
+  entrySizes.set(entry, size);
+  return size;
+}
+
+function encodeEntry(entry: Entry): Buffer {
+  const record = encodeRecord(entry);
+  entrySizes.set(entry, record.length);
+  return record;
+}
+
 interface Read {
   value: unknown;
   end: number;
@@ -237,13 +252,13 @@
       };
     },
     async append(entries) {
-      const bytes = Buffer.concat(entries.map(encodeRecord));
+      const bytes = Buffer.concat(entries.map(encodeEntry));
       await disk.append(LOG, bytes);
       await disk.sync(LOG);
       return bytes.length;
     },
     rewrite: (entries) =>
-      disk.replace(LOG, Buffer.concat(entries.map(encodeRecord))),
+      disk.replace(LOG, Buffer.concat(entries.map(encodeEntry))),
     saveSnapshot: (snapshot) => disk.replace(SNAPSHOT, encodeRecord(snapshot)),
     saveVote: (vote) => disk.replace(VOTE, encodeRecord(vote)),
     saveIdentity: (identity) => disk.replace(IDENTITY, encodeRecord(identity)),
--- a/src/control/replica_log.ts
+++ b/src/control/replica_log.ts
@@ -7,6 +7,7 @@
 import { createSerial } from "../core/tasks.ts";
 import {
   type Entry,
+  entryBytes,
   type LogStore,
   type Membership,
   NO_MEMBERS,
@@ -16,6 +17,8 @@
 import type { Machine } from "./machine.ts";
 
 const MAX_BATCH_ENTRIES = 256;
+/** Size of a batch in bytes; a call between processes takes twice as much. */
+const MAX_BATCH_BYTES = 8 * 1024 * 1024;
 
 /** Called when something about the log has changed. */
 export interface LogListener {
@@ -65,7 +68,7 @@
   readonly snapshot: Snapshot | undefined;
   /** Term of the entry at an index, if it is still held. */
   termAt(index: number): number | undefined;
-  /** Entries from an index on, at most one batch. */
+  /** Entries from an index on, at most one batch; one at least, if it is held. */
   batchFrom(index: number): Entry[];
   /** Appends entries as leader; they become durable in groups. */
   append(entry: Omit<Entry, "index">): Entry;
@@ -84,6 +87,16 @@
 /** Entries that a log keeps from before its snapshot. */
 const KEPT_ENTRIES = 64;
 
+/** The first entries that fit into a batch, one at least. */
+function withinBytes(entries: Entry[]): Entry[] {
+  let bytes = 0;
+  const end = entries.findIndex((entry, index) => {
+    bytes += entryBytes(entry);
+    return index > 0 && bytes > MAX_BATCH_BYTES;
+  });
+  return end < 0 ? entries : entries.slice(0, end);
+}
+
 /** Creates a log from what was found on disk. */
 export function createReplicaLog(options: ReplicaLogOptions): ReplicaLog {
   const { store, machine, recovered, snapshotEvery, listener } = options;
@@ -314,7 +327,7 @@
     termAt,
     batchFrom(index) {
       const start = index - baseIndex() - 1;
-      return entries.slice(start, start + MAX_BATCH_ENTRIES);
+      return withinBytes(entries.slice(start, start + MAX_BATCH_ENTRIES));
     },
     append(partial) {
       const entry: Entry = { ...partial, index: lastIndex() + 1 };
