--- a/src/control/log_store.ts
+++ b/src/control/log_store.ts
@@ -7,7 +7,7 @@
  */
 import { Packr } from "msgpackr";
 import { z } from "zod";
-import { CorruptionError } from "../core/errors.ts";
+import { CorruptionError, StepError } from "../core/errors.ts";
 import { hash32 } from "../core/hash.ts";
 import type { Disk } from "../disk/disk.ts";
 
@@ -15,6 +15,7 @@
 
 const HEADER_BYTES = 8;
 const CHECKSUM_OFFSET = 4;
+/** Largest record of the log; a damaged length is not searched further. */
 const MAX_RECORD_BYTES = 64 * 1024 * 1024;
 
 const LOG = "log";
@@ -127,8 +128,15 @@
   return size;
 }
 
+/** Encodes an entry; throws if it could not be read again. */
 function encodeEntry(entry: Entry): Buffer {
   const record = encodeRecord(entry);
+  if (record.length - HEADER_BYTES > MAX_RECORD_BYTES) {
+    throw new StepError(
+      "log.write",
+      `entry ${entry.index} has ${record.length} bytes`,
+    );
+  }
   entrySizes.set(entry, record.length);
   return record;
 }
@@ -139,14 +147,18 @@
 }
 
 /** Reads the record at an offset, or returns `undefined` if it is not whole. */
-function readRecord(bytes: Buffer, offset: number): Read | undefined {
+function readRecord(
+  bytes: Buffer,
+  offset: number,
+  maxBytes = MAX_RECORD_BYTES,
+): Read | undefined {
   if (bytes.length - offset < HEADER_BYTES) {
     return undefined;
   }
   const length = bytes.readUInt32BE(offset);
   const start = offset + HEADER_BYTES;
   const end = start + length;
-  if (length === 0 || length > MAX_RECORD_BYTES || end > bytes.length) {
+  if (length === 0 || length > maxBytes || end > bytes.length) {
     return undefined;
   }
   const payload = bytes.subarray(start, end);
@@ -222,7 +234,8 @@
     if (!bytes) {
       return undefined;
     }
-    const read = readRecord(Buffer.from(bytes), 0);
+    // A file of one record is as large as what was stored.
+    const read = readRecord(Buffer.from(bytes), 0, bytes.length);
     if (!read) {
       throw new CorruptionError("log.recover", `file ${name} is damaged`);
     }
