--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from "../core/logger.ts";
 import { sleep } from "../time/timer.ts";
-import { handOverTo } from "./handover.ts";
+import { handOverTo, settleChanges } from "./handover.ts";
 import type { Entry, Membership, ReplicaInfo } from "./log_store.ts";
 import {
   isMember,
@@ -158,6 +158,18 @@
     answeringMs: tuning.electionMs,
   };
 
+  /** The most advanced voter, those that answer before those that are silent. */
+  function successor(): ReplicaInfo | undefined {
+    const others = voters().filter((one) => one.identity !== self.identity);
+    const answering = others.filter((one) =>
+      peers.silenceMs(one) <= tuning.electionMs
+    );
+    return (answering.length > 0 ? answering : others)
+      .sort((one, other) =>
+        matchedBy(other) - matchedBy(one) || answeredAt(other) - answeredAt(one)
+      )[0];
+  }
+
   /** Looks after quorum and membership until leadership ends. */
   async function watch(): Promise<void> {
     while (!signal.aborted) {
@@ -190,17 +202,12 @@
     admit,
     async handOver() {
       handingOver = true;
-      const target = voters()
-        .filter((voter) => voter.identity !== self.identity)
-        .sort((one, other) => matchedBy(other) - matchedBy(one))[0];
+      const target = successor();
+      const handover = { ...options, signal, answered, wake, matchedBy };
       if (target) {
-        await handOverTo(target, {
-          ...options,
-          signal,
-          answered,
-          wake,
-          matchedBy,
-        });
+        await handOverTo(target, handover);
+      } else {
+        await settleChanges(handover);
       }
     },
   };
--- a/src/control/lease_keeper.ts
+++ b/src/control/lease_keeper.ts
@@ -6,6 +6,7 @@
 import type { Recorder } from "../account/events.ts";
 import type { Logger } from "../core/logger.ts";
 import { sleep, type Timer } from "../time/timer.ts";
+import type { Member } from "./commands.ts";
 import type { LeaderCalls } from "./leader_calls.ts";
 import { createLeaseBook, type LeaseBook, registrationKey } from "./leases.ts";
 import { type LeaderReply, type Renewal, renewMethod } from "./node_methods.ts";
@@ -15,6 +16,8 @@
 const RENEWAL_BATCH_MS = 500;
 /** Longest wait for the leader to take renewals, in milliseconds. */
 const RENEWAL_TIMEOUT_MS = 700;
+/** Time for which an answer is kept that no node asks for, in milliseconds. */
+const LOST_KEPT_MS = 60_000;
 /** Interval at which a leader looks at leases, in milliseconds. */
 const LEASE_CHECK_MS = 500;
 /** Lease of a member before there is a configuration, in milliseconds. */
@@ -37,10 +40,13 @@
 export interface LeaseKeeper {
   /** Takes a node's renewal, to be passed on with the next batch. */
   note(renewal: Renewal): void;
-  /** Whether the leader called a registration lost in the newest batch. */
+  /** Whether the leader called a registration lost when it was last asked. */
   isLost(renewal: Renewal): boolean;
-  /** Renews leases as leader. */
-  renew(batch: Renewal[]): LeaderReply<{ lost: Renewal[] }>;
+  /**
+   * Renews leases as leader. A registration is called lost only once a quorum
+   * has confirmed that this replica leads and holds all that was accepted.
+   */
+  renew(batch: Renewal[]): Promise<LeaderReply<{ lost: Renewal[] }>>;
   /** Passes renewals on until the replica stops. */
   passOn(): Promise<void>;
   /** Removes members without a lease, while this replica leads. */
@@ -51,21 +57,66 @@
 export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
   const { state, calls, recorder, timer, logger, signal } = options;
   const renewals = new Map<string, Renewal>();
-  let lost = new Set<string>();
+  /** Registrations that the leader called lost, and when it did. */
+  const lost = new Map<string, number>();
   let leases: LeaseBook | undefined;
 
+  /** Notes the leader's answer to a batch; what is not asked for is dropped. */
+  function noteLost(batch: Renewal[], gone: Renewal[]): void {
+    const now = timer.now();
+    batch.forEach((renewal) => lost.delete(registrationKey(renewal)));
+    gone.forEach((renewal) => lost.set(registrationKey(renewal), now));
+    for (const [key, since] of lost) {
+      if (now - since > LOST_KEPT_MS) {
+        lost.delete(key);
+      }
+    }
+  }
+
   function unknownTo(renewal: Renewal): boolean {
     const member = state.member(renewal.server);
     return member?.incarnation !== renewal.incarnation;
   }
 
-  function renew(batch: Renewal[]): LeaderReply<{ lost: Renewal[] }> {
+  async function renew(
+    batch: Renewal[],
+  ): Promise<LeaderReply<{ lost: Renewal[] }>> {
     if (!calls.leads()) {
       return { kind: "not_leader", leader: options.leader() };
     }
     leases ??= createLeaseBook(timer);
     leases.renew(batch);
-    return { kind: "done", value: { lost: batch.filter(unknownTo) } };
+    const confirmed = batch.some(unknownTo)
+      ? await calls.confirmHere()
+      : undefined;
+    return confirmed && confirmed.kind !== "done"
+      ? confirmed
+      : { kind: "done", value: { lost: batch.filter(unknownTo) } };
+  }
+
+  /** Removes a member; only what was accepted is recorded. */
+  async function expireOne(member: Member): Promise<void> {
+    const { server, service, domain, incarnation } = member;
+    const reply = await calls.propose<boolean>({
+      kind: "expire",
+      server,
+      incarnation,
+      cause: "lease",
+    });
+    if (reply.kind !== "done") {
+      logger.warn("member.expiry_failed", { server, reason: reply.kind });
+      return;
+    }
+    if (reply.value) {
+      logger.warn("member.lease_expired", { server });
+      recorder.record({
+        kind: "member",
+        server,
+        service,
+        domain,
+        cause: "the lease ran out",
+      });
+    }
   }
 
   return {
@@ -83,38 +134,28 @@
         const reply = await calls.call(renewMethod, {
           request: { renewals: batch },
           timeoutMs: RENEWAL_TIMEOUT_MS,
-          local: () => Promise.resolve(renew(batch)),
+          local: () => renew(batch),
         });
         if (reply.kind === "done") {
-          lost = new Set(reply.value.lost.map(registrationKey));
+          noteLost(batch, reply.value.lost);
         }
       }
     },
     async expire() {
+      let lookedAt = timer.now();
       while (!signal.aborted) {
         await sleep(timer, LEASE_CHECK_MS, { signal });
+        const lateMs = timer.now() - lookedAt - LEASE_CHECK_MS;
+        lookedAt = timer.now();
         if (!calls.leads()) {
           leases = undefined;
           continue;
         }
         leases ??= createLeaseBook(timer);
+        leases.heldUp(Math.max(0, lateMs));
         const leaseMs = state.site?.timeouts.lease_ms ?? DEFAULT_LEASE_MS;
         for (const member of leases.expired(state.members(), leaseMs)) {
-          const { server, service, domain, incarnation } = member;
-          logger.warn("member.lease_expired", { server });
-          recorder.record({
-            kind: "member",
-            server,
-            service,
-            domain,
-            cause: "the lease ran out",
-          });
-          await calls.propose({
-            kind: "expire",
-            server,
-            incarnation,
-            cause: "lease",
-          });
+          await expireOne(member);
         }
       }
     },
--- a/src/control/methods.ts
+++ b/src/control/methods.ts
@@ -24,6 +24,9 @@
  */
 const to = z.string();
 
+/** Set by a replica that takes no part, or is not the one that was meant. */
+const refused = z.literal(true).optional();
+
 /** Asks for a vote; `pre` asks only whether a vote would be granted. */
 export const voteMethod = defineMethod("vote", {
   request: z.object({
@@ -54,6 +57,7 @@
     term: z.number(),
     accepted: z.boolean(),
     lastIndex: z.number(),
+    refused,
   }),
 });
 
@@ -71,7 +75,7 @@
     bytes: z.instanceof(Uint8Array),
     last: z.boolean(),
   }),
-  reply: z.object({ term: z.number(), received: z.number() }),
+  reply: z.object({ term: z.number(), received: z.number(), refused }),
 });
 
 /** Asks a peer, at a start, what it knows of the cluster and of the caller. */
@@ -82,7 +86,8 @@
     term: z.number(),
   }),
   reply: z.object({
-    formed: z.boolean(),
+    /** Absent as long as the replica has not read its disk. */
+    formed: z.boolean().optional(),
     rolledBack: z.boolean(),
     members: membershipSchema,
   }),
