Name the guard's decisions by the field's terms

queue_timeout (was patience), load_shedding (turn_away), concurrency_limit (knee), latency_spike (slow_spell), latency_estimate (usual_times), response_cache (kept_answers), with the names of their types and functions. Log events, metrics and refusal reasons keep theirs, which operators read. No logic changes: 183 assertions of the guard's and the ingress's tests passed.

--- a/src/guard/admission.ts
+++ b/src/guard/admission.ts
@@ -12,7 +12,7 @@
   inTimeLeftMs,
   longestWaitMs,
   type Timing,
-} from "./patience.ts";
+} from "./queue_timeout.ts";
 import { expectedWaitMs } from "./wait_estimate.ts";
 import type { Warmup } from "./warmup.ts";
 
--- a/src/guard/attempt_notes.ts
+++ b/src/guard/attempt_notes.ts
@@ -10,7 +10,7 @@
 import type { Attempt, Load, RefusalReason } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
 import type { End } from "./run.ts";
-import { isTurnedAway } from "./turn_away.ts";
+import { isTurnedAway } from "./load_shedding.ts";
 
 /** Why an attempt did not run, and when a place is likely, if known. */
 export interface Refusal {
--- a/src/guard/knee.ts
+++ b/src/guard/concurrency_limit.ts
@@ -2,7 +2,7 @@
  * Finds out whether a backend server slows down when it is nearly full, by the
  * times of what ran beside much and beside little other work.
  *
- * Answers a load that fills servers: above its knee a server does less in all.
+ * Answers a load that fills servers: above its limit a server does less in all.
  * @module
  */
 import type { Timer } from "../time/timer.ts";
@@ -20,7 +20,7 @@
 }
 
 /** What is known of a server that is nearly full. */
-export interface Knee {
+export interface ConcurrencyLimit {
   /** Whether a server is nearly full beside so much work. */
   nearlyFull(busy: number, slots: number): boolean;
   /** Learns from a request. */
@@ -63,10 +63,10 @@
 }
 
 /**
- * Creates a knee of which nothing is known: the server is not filled until its
- * times below the knee are known, then filled until it is known to slow down.
+ * Creates a limit of which nothing is known: the server is not filled until its
+ * times below the limit are known, then filled until it is known to slow down.
  */
-export function createKnee(timer: Timer): Knee {
+export function createConcurrencyLimit(timer: Timer): ConcurrencyLimit {
   const classes = new Map<string, Times>();
   let learnedAt = timer.now();
 
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -48,7 +48,7 @@
   createServerLink,
 } from "./server_link.ts";
 import { createServerWatch } from "./server_watch.ts";
-import { turnsAway } from "./turn_away.ts";
+import { sheddingReason } from "./load_shedding.ts";
 import type { Completion, Warmup } from "./warmup.ts";
 
 /** Options of {@link createGuard}. */
@@ -319,7 +319,7 @@
     const waitMs = admission.expectedWaitMs(
       applicantOf(frame, { alone: false, signal: neverCancelled }),
     );
-    const reason = turnsAway({
+    const reason = sheddingReason({
       slowness: link.report?.slowness ?? 1,
       reportAgeMs: link.reportAgeMs,
       waitMs,
--- a/src/guard/usual_times.ts
+++ b/src/guard/latency_estimate.ts
@@ -5,7 +5,7 @@
  */
 
 /** What a guard has learned of the times of requests. */
-export interface UsualTimes {
+export interface LatencyEstimate {
   /** Learns from a request that began at some slowness. */
   note(className: string, latencyMs: number, slowness: number): void;
   /** Returns the usual time of a kind in ms; 0 while it is unknown. */
@@ -16,7 +16,7 @@
 const WEIGHT = 0.1;
 
 /** Creates times that know nothing yet. */
-export function createUsualTimes(): UsualTimes {
+export function createLatencyEstimate(): LatencyEstimate {
   const times = new Map<string, number>();
   return {
     note(className, latencyMs, slowness) {
--- a/src/guard/slow_spell.ts
+++ b/src/guard/latency_spike.ts
@@ -6,10 +6,10 @@
  * @module
  */
 import type { Timer } from "../time/timer.ts";
-import { isSlow, REPORT_STALE_MS } from "./turn_away.ts";
+import { isSlow, REPORT_STALE_MS } from "./load_shedding.ts";
 
 /** The slow spells of one server. */
-export interface SlowSpell {
+export interface LatencySpike {
   /** The server has reported its present slowness. */
   report(slowness: number): void;
   /**
@@ -23,7 +23,7 @@
 const EXPECTED_SPELL_MS = 100;
 
 /** Creates the spells of a server that has reported nothing yet. */
-export function createSlowSpell(timer: Timer): SlowSpell {
+export function createLatencySpike(timer: Timer): LatencySpike {
   let slowness = 1;
   let reportedAt = -Infinity;
   let since = -Infinity;
--- a/src/guard/slow_spell_test.ts
+++ b/src/guard/latency_spike_test.ts
@@ -3,7 +3,7 @@
 import { createFakeTimer, type FakeTimer } from "../time/fake_timer.ts";
 import { createAdmission } from "./admission.ts";
 import { createColdRate } from "./cold_rate.ts";
-import { createSlowSpell } from "./slow_spell.ts";
+import { createLatencySpike } from "./latency_spike.ts";
 
 const WORK_MS = 60;
 const OBJECTIVE_MS = 200;
@@ -23,7 +23,7 @@
   timer: FakeTimer,
   options: { waits: boolean },
 ): Promise<number> {
-  const spell = createSlowSpell(timer);
+  const spell = createLatencySpike(timer);
   const rate = createColdRate(
     timer,
     () => ({ perSecond: 100, coldMs: 0, slots: 9 }),
@@ -77,7 +77,7 @@
 
 test("short work does not wait, nor any for a server that stays slow", async (t) => {
   const timer = createFakeTimer();
-  const spell = createSlowSpell(timer);
+  const spell = createLatencySpike(timer);
   spell.report(FACTOR);
   t.ok(spell.holdMs(WORK_MS) > 0);
   t.equal(spell.holdMs(15), 0, "a call of 15 ms ends sooner than the spell");
--- a/src/guard/turn_away.ts
+++ b/src/guard/load_shedding.ts
@@ -41,7 +41,7 @@
 }
 
 /** Returns why a request had better go elsewhere, if so. */
-export function turnsAway(moment: Moment): RefusalReason | undefined {
+export function sheddingReason(moment: Moment): RefusalReason | undefined {
   const { slowness, reportAgeMs, waitMs, slackMs, failingShare } = moment;
   if (failingShare > FAILING_SHARE) {
     return "failing";
--- a/src/guard/turn_away_test.ts
+++ b/src/guard/load_shedding_test.ts
@@ -1,7 +1,7 @@
 import { test } from "tap";
 import { createFakeTimer } from "../time/fake_timer.ts";
 import { createFailingShare } from "./failing_share.ts";
-import { isTurnedAway, type Moment, turnsAway } from "./turn_away.ts";
+import { isTurnedAway, type Moment, sheddingReason } from "./load_shedding.ts";
 
 const FINE: Moment = {
   slowness: 1,
@@ -12,26 +12,26 @@
 };
 
 test("work goes elsewhere while a server is slow, full or failing", (t) => {
-  t.equal(turnsAway(FINE), undefined);
-  t.equal(turnsAway({ ...FINE, slowness: 5 }), "slow");
-  t.equal(turnsAway({ ...FINE, slowness: 1.2 }), undefined);
+  t.equal(sheddingReason(FINE), undefined);
+  t.equal(sheddingReason({ ...FINE, slowness: 5 }), "slow");
+  t.equal(sheddingReason({ ...FINE, slowness: 1.2 }), undefined);
   t.equal(
-    turnsAway({ ...FINE, slowness: 5, reportAgeMs: 1_000 }),
+    sheddingReason({ ...FINE, slowness: 5, reportAgeMs: 1_000 }),
     undefined,
     "an old report says nothing",
   );
-  t.equal(turnsAway({ ...FINE, waitMs: 60 }), "busy");
+  t.equal(sheddingReason({ ...FINE, waitMs: 60 }), "busy");
   t.equal(
-    turnsAway({ ...FINE, waitMs: 8 }),
+    sheddingReason({ ...FINE, waitMs: 8 }),
     undefined,
     "a turn away is longer",
   );
   t.equal(
-    turnsAway({ ...FINE, waitMs: 8, slackMs: 3 }),
+    sheddingReason({ ...FINE, waitMs: 8, slackMs: 3 }),
     "busy",
     "it would miss its objective by waiting",
   );
-  t.equal(turnsAway({ ...FINE, failingShare: 0.5 }), "failing");
+  t.equal(sheddingReason({ ...FINE, failingShare: 0.5 }), "failing");
   t.ok(isTurnedAway("slow") && isTurnedAway("busy") && isTurnedAway("failing"));
   t.notOk(isTurnedAway("overloaded"));
   t.end();
@@ -41,7 +41,7 @@
   const timer = createFakeTimer();
   const failing = createFailingShare(timer);
   const turned = () =>
-    turnsAway({ ...FINE, failingShare: failing.share() }) === "failing";
+    sheddingReason({ ...FINE, failingShare: failing.share() }) === "failing";
   for (let count = 0; count < 100; count++) {
     failing.note(count % 100 === 0);
     await timer.advance(30);
--- a/src/guard/kept_answers.ts
+++ b/src/guard/response_cache.ts
@@ -10,7 +10,7 @@
 export type KeptEnd = Answer | Failed;
 
 /** Ends of attempts, kept within a bound of bytes. */
-export interface KeptAnswers {
+export interface ResponseCache {
   /** Bytes held. */
   readonly bytes: number;
   /** Keeps an end. */
@@ -27,7 +27,7 @@
 }
 
 /** Creates an empty store; the oldest ends make room for new ones. */
-export function createKeptAnswers(maxBytes: number): KeptAnswers {
+export function createResponseCache(maxBytes: number): ResponseCache {
   const endings = new Map<string, KeptEnd>();
   let bytes = 0;
 
--- a/src/guard/resumption.ts
+++ b/src/guard/resumption.ts
@@ -7,7 +7,7 @@
 import type { AttemptId, Failed, Load } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
 import { attemptKey, type AttemptLedger } from "./attempt_ledger.ts";
-import { createKeptAnswers, type KeptEnd } from "./kept_answers.ts";
+import { createResponseCache, type KeptEnd } from "./response_cache.ts";
 import type { End } from "./run.ts";
 
 /** Options of {@link createResumption}. */
@@ -46,7 +46,7 @@
 /** Creates a resumption that knows of no attempt. */
 export function createResumption(options: ResumptionOptions): Resumption {
   const { incarnation, ledger, timer, load, keepaliveMs } = options;
-  const kept = createKeptAnswers(KEPT_ANSWER_BYTES);
+  const kept = createResponseCache(KEPT_ANSWER_BYTES);
   const running = new Map<string, Promise<End>>();
 
   /** Waits for an attempt that runs, and shows that it is waited for. */
--- a/src/guard/server_watch.ts
+++ b/src/guard/server_watch.ts
@@ -6,10 +6,10 @@
 import type { Answer, Failed, Refused } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
 import { createFailingShare } from "./failing_share.ts";
-import { createKnee } from "./knee.ts";
+import { createConcurrencyLimit } from "./concurrency_limit.ts";
 import { createSlowNotice } from "./slow_notice.ts";
-import { createSlowSpell } from "./slow_spell.ts";
-import { createUsualTimes } from "./usual_times.ts";
+import { createLatencySpike } from "./latency_spike.ts";
+import { createLatencyEstimate } from "./latency_estimate.ts";
 
 /** A request that begins at the backend server. */
 export interface Beginning {
@@ -52,10 +52,10 @@
 /** Creates a watch that has seen nothing. */
 export function createServerWatch(timer: Timer): ServerWatch {
   const notice = createSlowNotice(timer);
-  const spell = createSlowSpell(timer);
-  const usual = createUsualTimes();
+  const spike = createLatencySpike(timer);
+  const usual = createLatencyEstimate();
   const failing = createFailingShare(timer);
-  const knee = createKnee(timer);
+  const concurrency = createConcurrencyLimit(timer);
 
   /** Whether an end shows that the server, or what it calls, does not work. */
   function hasFailed(end: Answer | Failed | Refused): boolean {
@@ -70,7 +70,7 @@
   ): void {
     const { class: name, slots, slowness } = beginning;
     const { latencyMs, busy } = completion;
-    knee.note({
+    concurrency.note({
       class: name,
       latencyMs: latencyMs / Math.max(1, slowness),
       busyAtStart: beginning.busy,
@@ -78,8 +78,8 @@
       slots,
     });
     // What a nearly full server does must not become the usual.
-    const full = knee.nearlyFull(beginning.busy, slots) ||
-      knee.nearlyFull(busy, slots);
+    const full = concurrency.nearlyFull(beginning.busy, slots) ||
+      concurrency.nearlyFull(busy, slots);
     if (!full || usual.of(name) === 0) {
       usual.note(name, latencyMs, slowness);
     }
@@ -88,11 +88,11 @@
   return {
     report(slowness) {
       notice.report(slowness);
-      spell.report(slowness);
+      spike.report(slowness);
     },
     usualMs: usual.of,
-    holdMs: spell.holdMs,
-    worthFilling: knee.worthFilling,
+    holdMs: spike.holdMs,
+    worthFilling: concurrency.worthFilling,
     failingShare: failing.share,
     begin(beginning) {
       const release = notice.begin(beginning.onSlow);
--- a/src/guard/slow_notice.ts
+++ b/src/guard/slow_notice.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Timer } from "../time/timer.ts";
-import { isSlow } from "./turn_away.ts";
+import { isSlow } from "./load_shedding.ts";
 
 /** Watches the attempts that run. */
 export interface SlowNotice {
--- a/src/ingress/fleet_state.ts
+++ b/src/ingress/fleet_state.ts
@@ -9,7 +9,7 @@
  */
 import type { Candidate } from "../choosing/mod.ts";
 import type { Random } from "../core/random.ts";
-import { isSlow, REPORT_STALE_MS } from "../guard/turn_away.ts";
+import { isSlow, REPORT_STALE_MS } from "../guard/load_shedding.ts";
 
 /** The server that would begin a request first, if all are full. */
 export interface FirstFree {
