--- a/tests/http/front_test.ts
+++ b/tests/http/front_test.ts
@@ -2,6 +2,7 @@
  * The HTTP edges of a real process: whole answers, streams with back-pressure,
  * limits, and shapes that smuggle requests.
  */
+import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, type Server } from "node:http";
 import { connect, type Socket } from "node:net";
@@ -303,6 +304,27 @@
   });
 });
 
+test("a planned stop answers each of the requests that came at once", async (t) => {
+  const lab = await startLab();
+  const socket = connect(lab.port, HOST);
+  socket.on("error", () => {});
+  let received = "";
+  socket.on("data", (part) => {
+    received += part;
+  });
+  await once(socket, "connect");
+  const ended = lab.end();
+  socket.write(
+    ["one", "two", "three"].map((name) =>
+      `GET /work/${name} HTTP/1.1\r\nhost: work\r\n\r\n`
+    ).join(""),
+  );
+  await once(socket, "close");
+  await ended;
+  t.equal(received.match(/HTTP\/1.1 200 OK/g)?.length, 3);
+  t.equal(lab.seen.length, 4, "with the first one of the lab");
+});
+
 test("the administration API refuses what it must", async (t) => {
   const lab = await startLab();
   t.teardown(() => lab.end());
