--- a/bench/platform/bundle_fleet.ts
+++ b/bench/platform/bundle_fleet.ts
@@ -33,8 +33,8 @@
 
 /** What a fleet is made of. */
 export interface BundleFleetOptions {
-  /** Folder of a checkout whose `target/` was built. */
-  root: string;
+  /** Script that starts the program, such as a build's bundle. */
+  program: string;
   nodes: number;
   /** Requests that a backend server runs at once. */
   slots: number;
@@ -50,6 +50,8 @@
   callers: string[];
   /** Processor time of all nodes so far, in microseconds. */
   processorUs(): number;
+  /** What the nodes have written to standard error. */
+  errors(): string;
   /** Ends the processes; resolves once the nodes have. */
   stop(): Promise<void>;
 }
@@ -220,11 +222,11 @@
   options: BundleFleetOptions,
 ): Promise<BundleFleet> {
   const folder = mkdtempSync(join(tmpdir(), "mustardcross-bench-"));
-  const program = join(options.root, "target/mustardcross.js");
   const network = `${NETWORK}.${++fleets}`;
   const [rpc, local, control, ready, outbound, app] = await freePorts(6);
   const ports = [rpc, local];
   const seed = `${network}.1:${control}`;
+  let errors = "";
   const children: ChildProcess[] = [];
   const servers: Server[] = [];
   const beats: NodeJS.Timeout[] = [];
@@ -239,11 +241,14 @@
     const child = spawn(process.execPath, [
       "--max-old-space-size=160",
       ...flags,
-      program,
+      options.program,
       role,
       "--settings",
       file,
-    ], { stdio: "ignore" });
+    ], { stdio: ["ignore", "ignore", "pipe"] });
+    child.stderr?.on("data", (text) => {
+      errors += role === "node" ? text : "";
+    });
     children.push(child);
     return child;
   }
@@ -326,6 +331,7 @@
       callers,
       processorUs: () =>
         nodes.reduce((sum, { pid }) => sum + processorUsOf(pid!), 0),
+      errors: () => errors,
       stop,
     };
   } catch (error) {
--- a/bench/platform/light_load.ts
+++ b/bench/platform/light_load.ts
@@ -8,6 +8,7 @@
  * [--rates N,N,...] [--prof DIR]`, after `node deploy/build.mjs` in each
  * @module
  */
+import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { Agent, request } from "undici";
 import {
@@ -96,7 +97,7 @@
     `--cpu-prof-dir=${flags.prof}`,
   ];
   const fleet = await startBundleFleet({
-    root: build,
+    program: join(build, "target/mustardcross.js"),
     nodes: NODES,
     slots: SLOTS,
     workMs: WORK_MS,
--- a/tests/scenario/freezer.ts
+++ b/tests/scenario/freezer.ts
@@ -10,6 +10,8 @@
   /** The timer service of the process. */
   readonly timer: Timer;
   readonly frozen: boolean;
+  /** Tasks of its timers that have run. */
+  readonly wakeUps: number;
   freeze(): void;
   thaw(): void;
 }
@@ -18,11 +20,13 @@
 export function createFreezer(timer: Timer): Freezer {
   let frozen = false;
   let held: (() => void)[] = [];
+  let wakeUps = 0;
 
   function run(task: () => void): void {
     if (frozen) {
       held.push(task);
     } else {
+      wakeUps++;
       task();
     }
   }
@@ -66,6 +70,9 @@
     get frozen() {
       return frozen;
     },
+    get wakeUps() {
+      return wakeUps;
+    },
     freeze() {
       frozen = true;
     },
--- a/tests/scenario/world.ts
+++ b/tests/scenario/world.ts
@@ -79,6 +79,8 @@
   alive: boolean;
   /** Versions in force, as they were seen. */
   versions: number[];
+  /** Tasks of its timers that have run. */
+  wakeUps(): number;
 }
 
 /** A small site on a test's clock. */
@@ -182,6 +184,7 @@
       announcing: true,
       alive: true,
       versions,
+      wakeUps: () => freezerOf(vm.name).wakeUps,
     };
   }
 
