Talk to backend servers, and tell requests apart, by code that no process compiles anew

The backend server's client is the runtime's own now, over a pool that keeps what the byte meter did: bounds of heads, of what stands between the parts of an answer and behind it, resets that look like ends, idle times that a server names. Fingerprints are worked out by a guard only while something is suspected, not by each ingress for each call; samples of logs use a plain spread of the request's id. What control stores keeps its hashes.

New tests of the client: bytes behind a whole answer, a server that does not listen, a connection that was ended, more requests than connections.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -24,10 +24,10 @@
 import type { Rpc } from "../src/rpc/rpc.ts";
 import { loadSite } from "../src/settings/load.ts";
 import { type Site, siteSchema } from "../src/settings/site.ts";
-import { hashReady } from "../src/core/hash.ts";
+import { prepareHashes } from "../src/core/hash.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 const HOST = "127.0.0.1";
 const HERE = dirname(fileURLToPath(import.meta.url));
--- a/bench/transports.ts
+++ b/bench/transports.ts
@@ -75,7 +75,6 @@
     method: "GET",
     path: "/billing/accounts/1",
     headers: HEADERS,
-    fingerprint: "0123456789abcdef",
     suspect: false,
     body: new Uint8Array(),
     streaming: false,
--- a/src/control/account_search_test.ts
+++ b/src/control/account_search_test.ts
@@ -1,7 +1,7 @@
 import { test } from "tap";
 import { createArchive } from "../account/archive.ts";
 import { eventSchema } from "../account/events.ts";
-import { hashReady } from "../core/hash.ts";
+import { prepareHashes } from "../core/hash.ts";
 import { silentLogger } from "../core/logger.ts";
 import { createFakeDisk } from "../disk/fake_disk.ts";
 import { createFakeRpcNetwork } from "../rpc/fake_rpc.ts";
@@ -13,7 +13,7 @@
 import { createControlState } from "./state.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 function event(wallTime: number) {
   return eventSchema.parse({
--- a/src/control/ballot_test.ts
+++ b/src/control/ballot_test.ts
@@ -1,11 +1,11 @@
 import { test } from "tap";
-import { hashReady } from "../core/hash.ts";
+import { prepareHashes } from "../core/hash.ts";
 import { createFakeDisk } from "../disk/fake_disk.ts";
 import { createBallot } from "./ballot.ts";
 import { createLogStore } from "./log_store.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 function build() {
   const disk = createFakeDisk();
--- a/src/control/change_results_test.ts
+++ b/src/control/change_results_test.ts
@@ -1,11 +1,11 @@
 import { test } from "tap";
-import { hashReady } from "../core/hash.ts";
+import { prepareHashes } from "../core/hash.ts";
 import { createChangeResults, MAX_CHANGE_RESULTS } from "./change_results.ts";
 import type { ChangeResult } from "./commands.ts";
 import { fakeChange } from "./fake_change.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 function accepted(version: number): () => ChangeResult {
   return () => ({ kind: "accepted", version });
--- a/src/control/fake_log.ts
+++ b/src/control/fake_log.ts
@@ -2,14 +2,14 @@
  * A replica's log on a disk in memory, for tests.
  * @module
  */
-import { hashReady } from "../core/hash.ts";
+import { prepareHashes } from "../core/hash.ts";
 import { createFakeDisk } from "../disk/fake_disk.ts";
 import { createLogStore, type Membership } from "./log_store.ts";
 import type { Machine } from "./machine.ts";
 import { createReplicaLog, type ReplicaLog } from "./replica_log.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 /** A machine without state. */
 export const nullMachine: Machine = {
--- a/src/control/recovery_test.ts
+++ b/src/control/recovery_test.ts
@@ -1,5 +1,5 @@
 import { test } from "tap";
-import { hashReady } from "../core/hash.ts";
+import { prepareHashes } from "../core/hash.ts";
 import { silentLogger } from "../core/logger.ts";
 import { createSeededRandom } from "../core/random.ts";
 import { createSupervisor } from "../core/tasks.ts";
@@ -10,7 +10,7 @@
 import { createReplica } from "./replica.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 const ADDRESS = "a:1";
 const LEADS_MS = 2_000;
--- a/src/control/state_test.ts
+++ b/src/control/state_test.ts
@@ -1,5 +1,5 @@
 import { test } from "tap";
-import { hashReady } from "../core/hash.ts";
+import { prepareHashes } from "../core/hash.ts";
 import { type Site, siteSchema } from "../settings/site.ts";
 import type { Command } from "./commands.ts";
 import { fakeChange } from "./fake_change.ts";
@@ -7,7 +7,7 @@
 import { type ControlState, createControlState } from "./state.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 const NOTHING = { global: 0, routes: 0, services: { work: 0, other: 0 } };
 
--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,19 +1,20 @@
 /**
- * Hashes of xxHash, whose module loads in the background.
+ * Hashes of xxHash, by which control checks and compares what it stores. Nodes
+ * do without: the module is compiled anew in each process.
  * @module
  */
 import xxhash, { type XXHashAPI } from "xxhash-wasm";
 
 let api: XXHashAPI | undefined;
 
-/** Resolves once hashes can be computed; every process awaits it at start. */
-export const hashReady: Promise<void> = xxhash().then((loaded) => {
-  api = loaded;
-});
+/** Resolves once hashes can be computed; what stores something awaits it. */
+export async function prepareHashes(): Promise<void> {
+  api ??= await xxhash();
+}
 
 function loaded(): XXHashAPI {
   if (!api) {
-    throw new Error("hashes are used before hashReady");
+    throw new Error("hashes are used before they were prepared");
   }
   return api;
 }
@@ -23,11 +24,6 @@
   return loaded().h32Raw(bytes);
 }
 
-/** Returns the 64-bit hash of bytes, in hexadecimal digits. */
-export function hash64(bytes: Uint8Array): string {
-  return loaded().h64Raw(bytes).toString(16).padStart(16, "0");
-}
-
 /** Returns the 64-bit hash of a text, in hexadecimal digits. */
 export function hashText(text: string): string {
   return loaded().h64ToString(text);
--- a/src/core/request_log.ts
+++ b/src/core/request_log.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { Timer } from "../time/timer.ts";
-import { hash32 } from "./hash.ts";
+import { spreadOf } from "./digest.ts";
 import { createLimitedLog } from "./log_limit.ts";
 import type { Logger, LogValue } from "./logger.ts";
 
@@ -35,11 +35,10 @@
 const CHOSEN_PERIOD = 8;
 /** One request in so many is in the sample. */
 const SAMPLE_PERIOD = 128;
-const encoder = new TextEncoder();
 
 /** Whether a request is one in `period`; the same in every process. */
 function isChosen(request: string, period: number): boolean {
-  return hash32(encoder.encode(request)) % period === 0;
+  return spreadOf(request) % period === 0;
 }
 
 /** Whether a request is in the sample; the same in every process. */
--- a/src/core/request_log_test.ts
+++ b/src/core/request_log_test.ts
@@ -1,11 +1,8 @@
 import { test } from "tap";
 import { createFakeTimer } from "../time/fake_timer.ts";
-import { hashReady } from "./hash.ts";
 import { type Logger, silentLogger } from "./logger.ts";
 import { createRequestLog, isSampled } from "./request_log.ts";
 
-await hashReady;
-
 function recordingLogger(lines: string[]): Logger {
   return {
     ...silentLogger,
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -10,6 +10,7 @@
   neverCancelled,
 } from "../core/cancellation.ts";
 import { errorFields } from "../core/errors.ts";
+import { fingerprintOf } from "../core/fingerprint.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import { arrivalOf, type EventLoopLag } from "../time/event_loop_lag.ts";
@@ -40,6 +41,7 @@
 import { type ColdRamp, createColdRamp, type RampLimits } from "./cold_ramp.ts";
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
+import type { Suspicion } from "./quarantine.ts";
 import { createResumption } from "./resumption.ts";
 import { type End, runAttempt } from "./run.ts";
 import {
@@ -281,6 +283,13 @@
     applyWithdrawal();
   });
 
+  /** What is known of a request; mostly, no request is suspected. */
+  function suspicionOf(frame: Attempt): Suspicion {
+    return crashes.suspects === 0
+      ? "none"
+      : crashes.judge(fingerprintOf(frame));
+  }
+
   function standing(frame: Attempt): RefusalReason | undefined {
     if (superseded) {
       return "superseded";
@@ -304,7 +313,7 @@
     if (!settings()) {
       return "not_ready";
     }
-    if (crashes.judge(frame.fingerprint) === "quarantined") {
+    if (suspicionOf(frame) === "quarantined") {
       return "quarantined";
     }
     return undefined;
@@ -382,8 +391,8 @@
   }
 
   /** Finds out whether a reset connection meant a crash. */
-  async function examineReset(fingerprint: string): Promise<void> {
-    crashes.noteReset(fingerprint);
+  async function examineReset(frame: Attempt): Promise<void> {
+    crashes.noteReset(fingerprintOf(frame));
     const boot = link.announced?.boot;
     const condition = await link.examine();
     const same = boot === link.announced?.boot;
@@ -397,7 +406,7 @@
     if (error.failure === "connect") {
       goDown("connection refused");
     } else if (error.failure === "reset") {
-      void examineReset(frame.fingerprint);
+      void examineReset(frame);
     }
   }
 
@@ -490,8 +499,7 @@
     },
   ): Promise<void> {
     const { attempt } = frame;
-    const suspicion = crashes.judge(frame.fingerprint);
-    const alone = frame.suspect || suspicion === "suspect";
+    const alone = frame.suspect || suspicionOf(frame) === "suspect";
     // A long wait must not look like a lost connection.
     const keepalive = timer.every(keepaliveMs(), () => {
       void channel.send({ kind: "pong" }).catch(() => {});
@@ -564,7 +572,7 @@
       ledger.set(attempt, end.kind === "answer" ? "finished" : "failed");
       resumption.keep(end);
       if (alone && end.kind === "answer") {
-        crashes.acquit(frame.fingerprint);
+        crashes.acquit(fingerprintOf(frame));
       }
       ended(end);
     });
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -1,259 +1,307 @@
 /**
- * The backend server over HTTP/1.1, by undici.
+ * The backend server over HTTP/1.1, by the runtime's own client: one that every
+ * process has compiled before it starts.
  * @module
  */
-import { EventEmitter } from "node:events";
-import { Readable } from "node:stream";
-import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher, errors, Pool } from "undici";
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { errorMessage } from "../core/errors.ts";
-import type { HeaderList } from "../core/headers.ts";
+import { type HeaderList, headerValue } from "../core/headers.ts";
 import { type BackendDialect, PlainBackendDialect } from "../http/dialect.ts";
+import { drained } from "../http/drained.ts";
+import { headerListOf } from "../http/raw_headers.ts";
 import {
   type Backend,
   BackendError,
   type BackendFactory,
   type BackendFailure,
+  type BackendRequest,
   type ComingBody,
 } from "./backend.ts";
-import { type ByteMeter, createByteMeter } from "./byte_meter.ts";
+import { ConnectionPool } from "./connection_pool.ts";
 
-/** Longest header fields of an answer, in bytes. */
+/** Longest head of an answer, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
 /**
  * Bytes that may come before, between and after the parts of an answer: its
  * header fields, their punctuation, and heads of interim answers.
  */
 const MAX_STRAY_BYTES = 2 * MAX_HEADER_BYTES;
-/**
- * The library's own bound of header fields: more than it parses at once, since
- * it makes an error for each field beyond.
- */
-const LIBRARY_HEADER_BYTES = 1024 * 1024;
+/** Longest pause within a long body, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 /** Idle time of a connection whose server names none, in milliseconds. */
 const KEEP_ALIVE_MS = 400;
 /** Time before the server's own limit at which it is closed here. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 const SHORT_BYTES = 32 * 1024;
-const NOT_CONNECTED = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
+/** Methods whose requests tell a length even without a body. */
+const METHODS_WITH_BODY = new Set(["POST", "PUT", "PATCH"]);
+/** The runtime's codes of heads, and of what stands between chunks, too long. */
+const OVERFLOW_CODES = new Set([
+  "HPE_HEADER_OVERFLOW",
+  "HPE_CHUNK_EXTENSIONS_OVERFLOW",
 ]);
 
-/** Finds out how a request failed; in doubt it may have run. */
-function failureOf(error: unknown): BackendFailure {
-  const code = (error as { code?: string }).code ?? "";
-  if (NOT_CONNECTED.has(code)) {
-    return "connect";
-  }
-  if (error instanceof errors.RequestAbortedError) {
-    return "aborted";
-  }
-  if ((error as { name?: string }).name === "AbortError") {
-    return "aborted";
-  }
-  if (
-    error instanceof errors.HeadersTimeoutError ||
-    error instanceof errors.BodyTimeoutError
-  ) {
-    return "timeout";
-  }
-  return "reset";
+/** Idle time that an answer names for its connection, in milliseconds. */
+function namedIdleMs(headers: HeaderList): number | undefined {
+  const text = headerValue(headers, "keep-alive");
+  const seconds = /timeout=(\d+)/.exec(text ?? "")?.[1];
+  return seconds === undefined
+    ? undefined
+    : Math.max(0, Number(seconds) * MS_PER_SECOND - KEEP_ALIVE_MARGIN_MS);
 }
 
-/** Converts undici's headers into a list. */
-function headerList(
-  headers: Record<string, string | string[] | undefined>,
-): HeaderList {
-  return Object.entries(headers).flatMap(([name, value]): HeaderList => {
-    if (value === undefined) {
-      return [];
-    }
-    const values = Array.isArray(value) ? value : [value];
-    return values.map((one): [string, string] => [name, one]);
-  });
+/** Whether an answer is short enough to be read at once. */
+function isShort(headers: HeaderList): boolean {
+  return Number(headerValue(headers, "content-length")) <= SHORT_BYTES;
 }
 
-/**
- * Renames the code of a reset. The library takes ECONNRESET for the end of an
- * answer that has no length, but such an answer was cut.
- */
-function nameReset(error: NodeJS.ErrnoException): void {
-  if (error.code === "ECONNRESET") {
-    error.code = "CONNECTION_RESET";
+/** Headers that tell the backend server where the body ends. */
+function framing({ method, headers, body }: BackendRequest): HeaderList {
+  if (headerValue(headers, "content-length") !== undefined) {
+    return [];
   }
+  if (body instanceof Uint8Array) {
+    return [["content-length", String(body.length)]];
+  }
+  if (body) {
+    return [["transfer-encoding", "chunked"]];
+  }
+  return METHODS_WITH_BODY.has(method) ? [["content-length", "0"]] : [];
 }
 
-/**
- * Reports an end as an error if the connection does not exist any more. Where
- * a reset comes together with the last bytes, the runtime tells only of an end;
- * but a connection that its peer has ended in order still has that peer.
- */
-function checkEnds(socket: Socket): void {
-  const emit = socket.emit.bind(socket) as Socket["emit"];
-  socket.emit = ((event: string, ...values: unknown[]) => {
-    if (event === "end" && socket.remoteAddress === undefined) {
-      socket.destroy(new Error("the connection was reset"));
-      return true;
+/** Writes a body as its source brings it and the server takes it. */
+async function writeBody(
+  sent: ClientRequest,
+  body: AsyncIterable<Uint8Array>,
+): Promise<void> {
+  try {
+    for await (const part of body) {
+      if (sent.destroyed) {
+        return;
+      }
+      if (!sent.write(part)) {
+        await drained(sent);
+      }
     }
-    return emit(event as "end", ...values as []);
-  }) as Socket["emit"];
+    sent.end();
+  } catch (error) {
+    // A cut body must not look like a whole one.
+    sent.destroy(error as Error);
+  }
 }
 
-/** Connects as the library does, but tells a reset from an end. */
-function connectorOf(
-  timeoutMs: number,
-  meter: ByteMeter,
-): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs });
-  return (options, callback) =>
-    connect(options, (error, socket) => {
-      if (error) {
-        callback(error, null);
-        return;
-      }
-      (socket as Socket).prependListener("error", nameReset);
-      checkEnds(socket as Socket);
-      meter.open(socket as Socket);
-      callback(null, socket);
-    });
+/** One request, from its sending to the end of its answer. */
+interface Exchange {
+  /** Resolves with the head of the answer; rejects with `BackendError`. */
+  head: Promise<IncomingMessage>;
+  /** Reads a short body at once. */
+  whole(answer: IncomingMessage): Promise<Uint8Array>;
+  /** Reads a body as it comes. */
+  parts(answer: IncomingMessage): AsyncGenerator<Uint8Array>;
+  /** Ends the connection: what else is on it belongs to no request. */
+  destroy(): void;
+  /** The end of the answer is of no use any more to who sent the request. */
+  release(): void;
 }
 
-/** A client of one connection at a time, which may not bring stray bytes. */
-class MeteredClient extends Client {
-  readonly #meter: ByteMeter;
+/** Sends a request over a pool. */
+function exchange(
+  pool: ConnectionPool,
+  options: { request: BackendRequest; headers: HeaderList; address: string },
+): Exchange {
+  const { address, headers } = options;
+  const { method, path, body, signal } = options.request;
+  let aborted = signal.cancelled;
+  /** The first that failed; what follows is told by other names. */
+  let failure: BackendError | undefined;
+  const sent = request({
+    agent: pool,
+    method,
+    path,
+    headers: headers.flat(),
+    maxHeaderSize: MAX_HEADER_BYTES,
+  });
 
-  constructor(
-    origin: URL,
-    options: { address: string; connectTimeoutMs: number; library: object },
-  ) {
-    const { address, connectTimeoutMs, library } = options;
-    const limits = { fields: MAX_HEADER_BYTES, stray: MAX_STRAY_BYTES };
-    const meter = createByteMeter(
-      limits,
-      (bytes) =>
-        new BackendError("defective", {
-          peer: address,
-          message: `over ${bytes} bytes beside the parts of an answer`,
-        }),
-    );
-    super(origin, {
-      ...library,
-      connect: connectorOf(connectTimeoutMs, meter),
-    });
-    this.#meter = meter;
+  function failureOf(code: string): BackendFailure {
+    if (aborted) {
+      return "aborted";
+    }
+    if (OVERFLOW_CODES.has(code)) {
+      return "defective";
+    }
+    return pool.stateOf(sent)?.connected === false ? "connect" : "reset";
   }
 
-  override dispatch(
-    options: Dispatcher.DispatchOptions,
-    handler: Dispatcher.DispatchHandlers,
-  ): boolean {
-    return super.dispatch(options, this.#meter.watch(handler));
+  function fail(error: unknown): BackendError {
+    failure ??= error instanceof BackendError
+      ? error
+      : new BackendError(failureOf((error as { code?: string }).code ?? ""), {
+        peer: address,
+        message: errorMessage(error),
+        cause: error,
+      });
+    return failure;
   }
-}
 
-/** Whether an answer is short enough to be read at once. */
-function isShort(
-  headers: Record<string, string | string[] | undefined>,
-): boolean {
-  const length = Number(headers["content-length"]);
-  return length <= SHORT_BYTES;
-}
+  function cut(): BackendError {
+    return fail(new Error("the answer was cut"));
+  }
 
-/** Creates clients of backend servers that speak a dialect. */
-export function httpBackends(dialect: BackendDialect): BackendFactory {
-  return ({ address, connections, connectTimeoutMs }): Backend => {
-    const pool = new Pool(`http://${address}`, {
-      connections,
-      pipelining: 1,
-      factory: (origin, library) =>
-        new MeteredClient(origin, { address, connectTimeoutMs, library }),
-      maxHeaderSize: LIBRARY_HEADER_BYTES,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      // Whoever sends a request cancels it; the library's timers are coarse.
-      headersTimeout: 0,
-      bodyTimeout: BODY_TIMEOUT_MS,
-    });
+  function isWhole(answer: IncomingMessage): boolean {
+    const wasReset = pool.stateOf(sent)?.wasReset === true;
+    return answer.complete && !failure && !wasReset;
+  }
 
-    function wrap(error: unknown): BackendError {
-      if (error instanceof BackendError) {
-        return error;
+  const release = signal.onCancel(() => {
+    aborted = true;
+    sent.destroy();
+  });
+
+  const head = new Promise<IncomingMessage>((resolve, reject) => {
+    let received: IncomingMessage | undefined;
+    sent.on("error", (error) => {
+      // What comes after a whole answer is not part of it.
+      if (!received?.complete) {
+        reject(fail(error));
       }
-      return new BackendError(failureOf(error), {
-        peer: address,
-        message: errorMessage(error),
-        cause: error,
+    });
+    sent.on("close", () => received ?? reject(cut()));
+    sent.on("response", (answer: IncomingMessage) => {
+      received = answer;
+      pool.noteProgress(sent);
+      answer.on("error", fail);
+      answer.on("end", () => {
+        pool.noteProgress(sent);
+        // The rest of a body that the server did not wait for is owed to it.
+        if (!sent.writableFinished) {
+          sent.destroy();
+        }
       });
-    }
+      resolve(answer);
+    });
+  });
+  if (body === undefined || body instanceof Uint8Array) {
+    sent.end(body);
+  } else {
+    void writeBody(sent, body);
+  }
 
-    function comingBody(
-      answer: Dispatcher.ResponseData,
-      release: () => void,
-    ): ComingBody {
-      async function* parts(): AsyncGenerator<Uint8Array> {
-        try {
-          yield* answer.body;
-        } catch (error) {
-          throw wrap(error);
-        } finally {
+  return {
+    head,
+    release,
+    destroy: () => void sent.destroy(),
+    whole: (answer) =>
+      new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        answer.on("data", (chunk: Buffer) => {
+          pool.noteProgress(sent);
+          chunks.push(chunk);
+        });
+        function finish(): void {
           release();
+          if (isWhole(answer)) {
+            resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+          } else {
+            reject(cut());
+          }
         }
-      }
-      async function whole(): Promise<Uint8Array> {
-        try {
-          return new Uint8Array(await answer.body.arrayBuffer());
-        } catch (error) {
-          throw wrap(error);
-        } finally {
-          release();
+        answer.on("end", finish);
+        answer.on("close", finish);
+      }),
+    async *parts(answer) {
+      sent.setTimeout(BODY_TIMEOUT_MS, () => {
+        fail(
+          new BackendError("timeout", {
+            peer: address,
+            message: `nothing came for ${BODY_TIMEOUT_MS} ms`,
+          }),
+        );
+        sent.destroy();
+      });
+      try {
+        for await (const chunk of answer) {
+          pool.noteProgress(sent);
+          yield chunk;
+        }
+        if (!isWhole(answer)) {
+          throw cut();
         }
+      } catch (error) {
+        throw fail(error);
+      } finally {
+        release();
       }
-      return {
-        [Symbol.asyncIterator]: parts,
-        whole: isShort(answer.headers) ? whole : undefined,
-      };
+    },
+  };
+}
+
+/** Creates clients of backend servers that speak a dialect. */
+export function httpBackends(dialect: BackendDialect): BackendFactory {
+  return ({ address, connections, connectTimeoutMs }): Backend => {
+    const pool = new ConnectionPool({
+      address,
+      connections,
+      connectTimeoutMs,
+      idleMs: KEEP_ALIVE_MS,
+      strayBytes: MAX_STRAY_BYTES,
+      excess: () =>
+        new BackendError("defective", {
+          peer: address,
+          message:
+            `over ${MAX_STRAY_BYTES} bytes beside the parts of an answer`,
+        }),
+    });
+
+    function headersFor(request: BackendRequest): HeaderList {
+      const { headers } = request;
+      const named = headerValue(headers, "host") !== undefined;
+      return [
+        ...(named ? [] : [["host", address]] as HeaderList),
+        ...headers,
+        ...dialect.requestHeaders(request),
+        ...framing(request),
+      ];
     }
 
     return {
       async send(request) {
-        const { method, path, body } = request;
-        const signal = new EventEmitter();
-        const release = request.signal.onCancel(() => signal.emit("abort"));
+        const open = exchange(pool, {
+          request,
+          headers: headersFor(request),
+          address,
+        });
+        let answer: IncomingMessage;
         try {
-          const answer = await pool.request({
-            method: method as "GET",
-            path,
-            headers: [...request.headers, ...dialect.requestHeaders(request)]
-              .flat(),
-            body: body === undefined || body instanceof Uint8Array
-              ? body
-              : Readable.from(body),
-            signal,
-          });
-          const head = {
-            status: answer.statusCode,
-            headers: headerList(answer.headers),
-          };
-          const verdict = dialect.judge(head, request);
-          if (verdict.defect) {
-            // Whatever else is on this connection belongs to no request.
-            answer.body.on("error", () => {}).destroy();
-            throw new BackendError("defective", {
-              peer: address,
-              message: verdict.defect,
-            });
-          }
-          return { ...head, verdict, body: comingBody(answer, release) };
+          answer = await open.head;
         } catch (error) {
-          release();
-          throw wrap(error);
+          open.release();
+          throw error;
         }
+        const head = {
+          status: answer.statusCode ?? 0,
+          headers: headerListOf(answer.rawHeaders),
+        };
+        const verdict = dialect.judge(head, request);
+        if (verdict.defect) {
+          open.release();
+          open.destroy();
+          throw new BackendError("defective", {
+            peer: address,
+            message: verdict.defect,
+          });
+        }
+        pool.keepFor(answer.socket, namedIdleMs(head.headers));
+        const body: ComingBody = {
+          [Symbol.asyncIterator]: () => open.parts(answer),
+          whole: isShort(head.headers) ? () => open.whole(answer) : undefined,
+        };
+        return { ...head, verdict, body };
+      },
+      close() {
+        pool.close();
+        return Promise.resolve();
       },
-      close: () => pool.close(),
     };
   };
 }
--- a/src/guard/http_backend_test.ts
+++ b/src/guard/http_backend_test.ts
@@ -93,3 +93,61 @@
   t.teardown(() => server.close());
   t.equal(await stepOfFailure(server), "backend.reset");
 });
+
+test("bytes behind a whole answer do not spoil it", async (t) => {
+  for (const behind of ["garbage", UNFRAMED]) {
+    const server = await listen((socket) =>
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole${behind}`)
+    );
+    t.teardown(() => server.close());
+    t.equal(await bodyOf(backendOf(server)), "whole");
+  }
+});
+
+test("a server that does not listen has run nothing", async (t) => {
+  const server = await listen(() => {});
+  const backend = backendOf(server);
+  await new Promise((resolve) => server.close(resolve));
+  const failed = await backend.send(REQUEST).catch((error) => error);
+  t.equal((failed as BackendError).step, "backend.connect");
+});
+
+test("a connection that the server has ended is not used again", async (t) => {
+  let connections = 0;
+  const server = await listen((socket) => {
+    connections++;
+    socket.end("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole");
+  });
+  t.teardown(() => server.close());
+  const backend = backendOf(server);
+  t.equal(await bodyOf(backend), "whole");
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  t.equal(await bodyOf(backend), "whole");
+  t.equal(connections, 2);
+});
+
+test("requests beyond the connections wait for one", async (t) => {
+  let open = 0;
+  let most = 0;
+  const server = createServer((socket) => {
+    open++;
+    most = Math.max(most, open);
+    socket.on("close", () => open--);
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      setTimeout(
+        () => socket.write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole"),
+        5,
+      );
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  t.teardown(() => server.close());
+  const backend = backendOf(server);
+  const bodies = await Promise.all(
+    Array.from({ length: 8 }, () => bodyOf(backend)),
+  );
+  t.same(new Set(bodies), new Set(["whole"]));
+  t.equal(most, 2);
+  await backend.close();
+});
--- a/src/http/caller_front.ts
+++ b/src/http/caller_front.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { endToEnd, type HeaderList } from "../core/headers.ts";
+import { endToEnd } from "../core/headers.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields, StepError } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
@@ -16,6 +16,8 @@
 import { sleep, type Timer } from "../time/timer.ts";
 import { readBody } from "./body.ts";
 import { type CallerDialect, PlainCallerDialect } from "./dialect.ts";
+import { drained } from "./drained.ts";
+import { headerListOf } from "./raw_headers.ts";
 import {
   closeHttp,
   createHttpServer,
@@ -53,28 +55,6 @@
   dialect?: CallerDialect;
 }
 
-function headersOf(request: IncomingMessage): HeaderList {
-  const { rawHeaders } = request;
-  const headers: HeaderList = [];
-  for (let index = 0; index < rawHeaders.length; index += 2) {
-    headers.push([rawHeaders[index].toLowerCase(), rawHeaders[index + 1]]);
-  }
-  return headers;
-}
-
-/** Resolves once a response takes more, or is closed. */
-function drained(response: ServerResponse): Promise<void> {
-  return new Promise((resolve) => {
-    function settle(): void {
-      response.off("drain", settle);
-      response.off("close", settle);
-      resolve();
-    }
-    response.on("drain", settle);
-    response.on("close", settle);
-  });
-}
-
 /** Creates the HTTP front of a node. */
 export function createCallerFront(options: CallerFrontOptions): CallerFront {
   const { node, timer, random, logger, lag } = options;
@@ -95,7 +75,7 @@
     request: IncomingMessage,
     { signal, arrivedAt }: { signal: Cancellation; arrivedAt?: number },
   ): Promise<Call> {
-    const notes = dialect.read(endToEnd(headersOf(request)));
+    const notes = dialect.read(endToEnd(headerListOf(request.rawHeaders)));
     const given = notes.requestId;
     const requestId = given !== undefined && /^[\w.-]{1,64}$/.test(given)
       ? given
--- a/src/ingress/exchange_test.ts
+++ b/src/ingress/exchange_test.ts
@@ -37,7 +37,6 @@
   method: "GET",
   path: "/read/1",
   headers: [],
-  fingerprint: "f",
   suspect: false,
   body: new Uint8Array(),
   streaming: false,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -27,7 +27,6 @@
 import { MEDIAN } from "./attempt.ts";
 import { createDispatcher } from "./dispatch.ts";
 import type { Exchanger } from "./exchange.ts";
-import { fingerprintOf } from "./fingerprint.ts";
 import { firstFreeOfFull, isKnown } from "./fleet_state.ts";
 import { createHints, type Hints } from "./hints.ts";
 import { createKeyedCalls } from "./keyed.ts";
@@ -89,7 +88,6 @@
   settings: RoutePolicy;
   service: Service;
   tenant: string;
-  fingerprint: string;
   startedAt: number;
   deadlineAt: number;
   /** Time until which the answer is worth most, if there is one. */
@@ -236,7 +234,7 @@
     routed: RoutedCall,
     { member, attempt, suspect, elsewhere }: FrameOptions,
   ): Attempt {
-    const { call, settings, tenant, fingerprint, deadlineAt, route } = routed;
+    const { call, settings, tenant, deadlineAt, route } = routed;
     const whole = call.body instanceof Uint8Array;
     return {
       kind: "attempt",
@@ -258,7 +256,6 @@
       method: call.method,
       path: call.path,
       headers: call.headers,
-      fingerprint,
       suspect,
       elsewhere,
       body: whole ? call.body as Uint8Array : new Uint8Array(),
@@ -327,7 +324,6 @@
       settings,
       service,
       tenant: tenantOf(call),
-      fingerprint: fingerprintOf(call),
       startedAt,
       deadlineAt: startedAt + timeoutOf(call, settings),
       objectiveAt: objectiveAtOf(call, { settings, startedAt }),
--- a/src/ingress/inquiry_test.ts
+++ b/src/ingress/inquiry_test.ts
@@ -39,7 +39,6 @@
   method: "GET",
   path: "/look/1",
   headers: [],
-  fingerprint: "f",
   suspect: false,
   elsewhere: false,
   body: new Uint8Array(),
--- a/src/ingress/keyed.ts
+++ b/src/ingress/keyed.ts
@@ -5,8 +5,10 @@
  * @module
  */
 import { neverCancelled } from "../core/cancellation.ts";
+import { fingerprintOf } from "../core/fingerprint.ts";
 import type { HeldClaim, Member } from "../control/commands.ts";
 import {
+  type Call,
   notRunReply,
   ranWithoutAnswerReply,
   type Reply,
@@ -36,6 +38,12 @@
   lastCause: string;
 }
 
+/** Tells a request from another that comes with the same key. */
+function requestHashOf({ method, path, body }: Call): string {
+  const whole = body instanceof Uint8Array ? body : new Uint8Array();
+  return fingerprintOf({ method, path, body: whole });
+}
+
 /** Creates the part of an ingress that handles keyed requests. */
 export function createKeyedCalls(parts: IngressParts): KeyedCalls {
   const { timer, random, claims, exchanger, directory, recorder } = parts;
@@ -130,9 +138,9 @@
 
   async function step(
     routed: RoutedCall,
-    keyed: { key: string; progress: Progress },
+    keyed: { key: string; requestHash: string; progress: Progress },
   ): Promise<Reply | undefined> {
-    const { key, progress } = keyed;
+    const { key, requestHash, progress } = keyed;
     const member = parts.choose(routed, progress.tried);
     if (!member) {
       const reason = progress.tried.size > 0
@@ -142,7 +150,7 @@
     }
     const result = await claims.claim({
       key,
-      requestHash: routed.fingerprint,
+      requestHash,
       claimant: `${parts.incarnation} ${random.identifier()}`,
       server: member.server,
       address: member.address,
@@ -169,7 +177,7 @@
           server: held.server,
           cause: `claim ${held.claim} is held`,
         });
-        if (held.requestHash !== routed.fingerprint) {
+        if (held.requestHash !== requestHash) {
           return notRunReply("key_reused", { attempts: progress.attempts });
         }
         return await follow(routed, { held, progress });
@@ -183,6 +191,7 @@
   return {
     async run(routed, callerKey) {
       const key = claimKey(routed, callerKey);
+      const requestHash = requestHashOf(routed.call);
       const progress: Progress = {
         attempts: 0,
         tried: new Set(),
@@ -195,7 +204,7 @@
         if (timer.now() >= routed.deadlineAt) {
           break;
         }
-        reply = await step(routed, { key, progress });
+        reply = await step(routed, { key, requestHash, progress });
       }
       const { replaces, attempts, lastCause } = progress;
       if (replaces !== undefined && reply?.outcome !== "ran") {
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -90,7 +90,6 @@
   method: z.string(),
   path: z.string(),
   headers: headerList,
-  fingerprint: z.string(),
   suspect: z.boolean(),
   elsewhere: z.boolean(),
   body: bytes,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -6,7 +6,6 @@
 import { createRecorder, type Recorder } from "../account/events.ts";
 import type { Member } from "../control/commands.ts";
 import { claimMethod, settleMethod } from "../control/node_methods.ts";
-import { hashReady } from "../core/hash.ts";
 import { createLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
@@ -453,7 +452,6 @@
     },
     setControlAddresses: client.setSeeds,
     async start() {
-      await hashReady;
       if (options.service !== undefined) {
         directory.subscribe(options.service);
       }
--- a/src/process.ts
+++ b/src/process.ts
@@ -4,7 +4,7 @@
  */
 import { type Control, createControl } from "./control/control.ts";
 import { errorFields } from "./core/errors.ts";
-import { hashReady } from "./core/hash.ts";
+import { prepareHashes } from "./core/hash.ts";
 import type { Logger } from "./core/logger.ts";
 import { createSystemRandom, type Random } from "./core/random.ts";
 import { createSupervisor, type Supervisor } from "./core/tasks.ts";
@@ -125,6 +125,7 @@
     return undefined;
   }
   const { parts, platform } = options;
+  await prepareHashes();
   const control = createControl({
     vm: settings.vm,
     address: role.rpc_address,
@@ -245,7 +246,6 @@
     }),
   };
   logDelays(parts);
-  await hashReady;
   const controlRole = await startControl(settings, { parts, platform });
   const nodeRole = await startNode(settings, { parts, platform });
   return {
--- a/tests/guard/endless_bodies_test.ts
+++ b/tests/guard/endless_bodies_test.ts
@@ -101,7 +101,6 @@
           method: "GET",
           path: "/read/1",
           headers: [["host", "a"]],
-          fingerprint: "f",
           suspect: false,
           body: new Uint8Array(),
           streaming: false,
--- a/tests/platform/held_lab.ts
+++ b/tests/platform/held_lab.ts
@@ -112,7 +112,6 @@
     method: "GET",
     path: `/read/${name}`,
     headers: [],
-    fingerprint: name,
     suspect: false,
     elsewhere: false,
     body: new Uint8Array(),
--- a/tests/scenario/cluster.ts
+++ b/tests/scenario/cluster.ts
@@ -13,10 +13,10 @@
 import type { Rpc } from "../../src/rpc/rpc.ts";
 import type { FakeTimer } from "../../src/time/fake_timer.ts";
 import { createFreezer, type Freezer } from "./freezer.ts";
-import { hashReady } from "../../src/core/hash.ts";
+import { prepareHashes } from "../../src/core/hash.ts";
 
 // Hashes are used from the first record on.
-await hashReady;
+await prepareHashes();
 
 const GIVE_UP_MS = 20_000;
 const RETRY_MS = 100;
--- a/tests/scenario/late_frames_test.ts
+++ b/tests/scenario/late_frames_test.ts
@@ -38,7 +38,6 @@
     method: "POST",
     path: "/pay/1",
     headers: [["mustardcross-request-id", "late1"]],
-    fingerprint: "f",
     suspect: false,
     body: new Uint8Array(),
     streaming: false,
