Wake a node by what it needs, not by timers that look whether it needs something

Now the beat is slow while nothing is read (250 ms; a hold-up at rest is noticed as before, up to that much shorter), a report is asked for when an attempt finds it old or while attempts wait, a freeze is looked for each second (its timer is due within any freeze that counts), and the p99 of the loop's delay comes from the beat in place of a second, native timer.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -69,6 +69,8 @@
   shareSuspicion: (frame: SuspicionFrame) => void;
   /** A peer, at this address if it is not empty, holds a newer version. */
   onNewerVersion: (version: number, peer: string) => void;
+  /** A decision needs the backend server's present report. */
+  onReportNeeded?: () => void;
 }
 
 /** What a guard shows of itself. */
@@ -115,8 +117,6 @@
   probe(): Promise<boolean>;
   /** Age of the server's own load report in ms; infinite without one. */
   readonly reportAgeMs: number;
-  /** Time since the last attempt came in milliseconds. */
-  readonly quietMs: number;
 }
 
 const LEDGER_CAPACITY = 50_000;
@@ -209,7 +209,6 @@
   let draining = false;
   let superseded = false;
   let wasOut = false;
-  let attemptedAt = -Infinity;
 
   function settings(): Service | undefined {
     const { announced } = link;
@@ -434,7 +433,7 @@
 
   async function serveAttempt(channel: Channel, frame: Attempt): Promise<void> {
     const { attempt } = frame;
-    attemptedAt = timer.now();
+    options.onReportNeeded?.();
     if (frame.version > directory.version) {
       options.onNewerVersion(frame.version, frame.from);
     }
@@ -505,9 +504,13 @@
       void channel.send({ kind: "pong" }).catch(() => {});
     });
     const askedAt = timer.now();
-    const verdict = await admission.admit(
+    const admitting = admission.admit(
       applicantOf(frame, { alone, signal: gone }),
     );
+    if (admission.queued > 0) {
+      options.onReportNeeded?.();
+    }
+    const verdict = await admitting;
     const waitedMs = timer.now() - askedAt;
     metrics.timing("queue_wait", frame.class, waitedMs);
     keepalive.cancel();
@@ -658,9 +661,6 @@
     get reportAgeMs() {
       return link.reportAgeMs;
     },
-    get quietMs() {
-      return timer.now() - attemptedAt;
-    },
     announce(next) {
       const previous = link.announced;
       const crashed = previous !== undefined && !leaving && !link.down &&
--- a/src/metrics/event_loop.ts
+++ b/src/metrics/event_loop.ts
@@ -3,7 +3,8 @@
  * garbage collection pauses.
  * @module
  */
-import { monitorEventLoopDelay, PerformanceObserver } from "node:perf_hooks";
+import { PerformanceObserver } from "node:perf_hooks";
+import { build } from "hdr-histogram-js";
 import { createLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
 import type { EventLoopLag } from "../time/event_loop_lag.ts";
@@ -11,10 +12,10 @@
 import { createRecentMax } from "./recent_max.ts";
 import type { Metrics } from "./metrics.ts";
 
-const NANOSECONDS_PER_SECOND = 1e9;
 const MICROSECONDS_PER_SECOND = 1e6;
 const MS_PER_SECOND = 1_000;
-const RESOLUTION_MS = 10;
+/** Longest delay that is told from longer ones, in milliseconds. */
+const LONGEST_DELAY_MS = 60_000;
 const P99 = 99;
 /** Time that the largest delay shown goes back at least, in milliseconds. */
 const MAX_WINDOW_MS = 10_000;
@@ -46,8 +47,14 @@
     "event_loop_delay_max_seconds",
     () => largest.value(performance.now()) / MS_PER_SECOND,
   );
-  const delay = monitorEventLoopDelay({ resolution: RESOLUTION_MS });
-  delay.enable();
+  const delays = build({
+    highestTrackableValue: LONGEST_DELAY_MS,
+    numberOfSignificantValueDigits: 2,
+    useWebAssembly: false,
+  });
+  lag.onBeat((delayMs) =>
+    delays.recordValue(Math.min(LONGEST_DELAY_MS, Math.round(delayMs)))
+  );
   let pausedMs = 0;
   const observer = new PerformanceObserver((list) => {
     for (const entry of list.getEntries()) {
@@ -57,7 +64,7 @@
   observer.observe({ entryTypes: ["gc"] });
   metrics.gauge(
     "event_loop_delay_p99_seconds",
-    () => delay.percentile(P99) / NANOSECONDS_PER_SECOND,
+    () => delays.getValueAtPercentile(P99) / MS_PER_SECOND,
   );
   metrics.gauge("gc_pause_seconds", () => pausedMs / MS_PER_SECOND);
   metrics.gauge("processor_seconds", () => {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -32,6 +32,7 @@
 import { createControlClient } from "./control_client.ts";
 import { createDirectory, type Directory } from "./directory.ts";
 import { createRegistration } from "./registration.ts";
+import { createReportRefresh } from "./report_refresh.ts";
 import { createSync, type Sync } from "./sync.ts";
 
 /** Options of {@link createNode}. */
@@ -95,12 +96,6 @@
   idle_ping_ms: 1_000,
 };
 const HEALTH_INTERVAL_MS = 250;
-/** Interval at which the age of the server's report is looked at. */
-const REPORT_CHECK_MS = 20;
-/** Age up to which a report of load is fresh. */
-const REPORT_FRESH_MS = 35;
-/** Time after the last attempt for which a fresh report is wanted. */
-const REPORT_WANTED_MS = 500;
 /** Path of health checks until the service's settings are known. */
 const DEFAULT_HEALTH_PATH = "/health";
 /** Time without announcements after which the backend server is gone. */
@@ -112,7 +107,7 @@
 const FREEZE_MS = 2_000;
 /** Lines a second about silent guards. */
 const SILENCE_LINES_PER_S = 5;
-const WATCH_MS = 100;
+const WATCH_MS = 1_000;
 
 /** Creates the `node` role. */
 export function createNode(options: NodeOptions): Node {
@@ -233,6 +228,13 @@
     createBackend: options.createBackend,
     shareSuspicion: (frame) => void shareSuspicion(frame),
     onNewerVersion: sync.catchUp,
+    onReportNeeded: () => refresh.needed(),
+  });
+  const refresh = createReportRefresh({
+    timer,
+    ageMs: () => guard.reportAgeMs,
+    queued: () => guard.load().queued,
+    ask: () => void checkHealth(),
   });
   const probeBudget = createRateBudget(
     timer,
@@ -391,28 +393,16 @@
     while (!signal.aborted) {
       await sleep(timer, HEALTH_INTERVAL_MS, { signal });
       await probeUnknown();
-      const idle = guard.announced && guard.load().inFlight === 0;
-      if (idle && healthBudget.take()) {
-        metrics.count("health_checks");
-        await guard.probe();
+      if (guard.announced && guard.load().inFlight === 0) {
+        await checkHealth();
       }
     }
   }
 
-  /**
-   * Keeps the server's own report fresh while work comes in. A server that
-   * turns work away gets no answers that would tell when it is fast again.
-   */
-  async function reportTask(): Promise<void> {
-    while (!signal.aborted) {
-      await sleep(timer, REPORT_CHECK_MS, { signal });
-      const ageMs = guard.reportAgeMs;
-      const wanted = guard.quietMs < REPORT_WANTED_MS &&
-        ageMs > REPORT_FRESH_MS && Number.isFinite(ageMs);
-      if (wanted && healthBudget.take()) {
-        metrics.count("health_checks");
-        await guard.probe();
-      }
+  async function checkHealth(): Promise<void> {
+    if (healthBudget.take()) {
+      metrics.count("health_checks");
+      await guard.probe();
     }
   }
 
@@ -458,7 +448,6 @@
       listener = await options.network.listen(options.peerAddress, serve);
       sync.start();
       supervisor.start("node.probe", probeTask);
-      supervisor.start("node.report", reportTask);
       supervisor.start("node.watch", watchTask);
     },
     announce,
@@ -497,6 +486,7 @@
       await listener?.close();
       // A call under way to control may last longer than the process has.
       await Promise.race([supervisor.stop(), sleep(timer, TASKS_END_MS)]);
+      refresh.stop();
       pool.close();
       for (const channel of [...open]) {
         channel.close();
--- a/src/time/event_loop_lag.ts
+++ b/src/time/event_loop_lag.ts
@@ -8,8 +8,12 @@
 
 /** Lag from which on work waits for the next poll, in milliseconds. */
 const LATE_MS = 50;
-/** Interval of the beat by which a hold-up is noticed. */
+/** Interval of the beat by which a hold-up is noticed, while work comes. */
 const BEAT_MS = 20;
+/** The same while nothing comes. */
+const RESTING_BEAT_MS = 250;
+/** Time without work after which a process rests. */
+const REST_AFTER_MS = 100;
 /** Polls after which all that lay in open sockets was read. */
 const POLLS_TO_SETTLE = 3;
 /** Polls after which the closing behind a request is known. */
@@ -43,7 +47,7 @@
   caughtUp(isGone: () => boolean): Promise<void>;
   /** Resolves once such a closing would be known, for work under way. */
   closingsKnown(): Promise<void>;
-  /** Calls `listener` with the milliseconds of each beat's delay. */
+  /** Calls `listener` with the delay of each beat, in milliseconds. */
   onBeat(listener: (delayMs: number) => void): void;
   /** Ends the beat. */
   stop(): void;
@@ -65,17 +69,17 @@
   now(): number;
   /** Calls `task` after the next poll of the sockets. */
   afterPoll(task: () => void): void;
-  /** Calls `task` each `periodMs`; returns what ends it. */
-  every(periodMs: number, task: () => void): () => void;
+  /** Calls `task` once after `delayMs`; returns what takes it back. */
+  after(delayMs: number, task: () => void): () => void;
 }
 
 /** The event loop of this process. */
 export const systemLoopClock: LoopClock = {
   now: () => performance.now(),
   afterPoll: (task) => void setImmediate(task),
-  every(periodMs, task) {
-    const handle = setInterval(task, periodMs).unref();
-    return () => clearInterval(handle);
+  after(delayMs, task) {
+    const handle = setTimeout(task, delayMs).unref();
+    return () => clearTimeout(handle);
   },
 };
 
@@ -101,6 +105,9 @@
 ): EventLoopLag {
   const listeners: ((delayMs: number) => void)[] = [];
   let beatAt = clock.now();
+  let periodMs = BEAT_MS;
+  /** When something was last read. */
+  let activeAt = beatAt;
   let polls = 0;
   let watching = false;
   /** Length of a hold-up whose unread input is being read. */
@@ -132,7 +139,7 @@
   /** Notices a hold-up also where a poll comes before the beat. */
   function check(): void {
     const now = clock.now();
-    const delayMs = now - beatAt - BEAT_MS;
+    const delayMs = now - beatAt - periodMs;
     if (delayMs >= LATE_MS) {
       noteHeld(delayMs);
     }
@@ -141,6 +148,28 @@
     }
   }
 
+  /** Something is read: the beat is fast while work comes. */
+  function checkAwake(): void {
+    check();
+    activeAt = clock.now();
+    if (periodMs === RESTING_BEAT_MS) {
+      cancelBeat();
+      beat();
+    }
+  }
+
+  function beat(): void {
+    check();
+    const now = clock.now();
+    const delayMs = Math.max(0, now - beatAt - periodMs);
+    beatAt = now;
+    const rests = now - activeAt >= REST_AFTER_MS && polls >= lateUntil &&
+      waiting.length === 0;
+    periodMs = rests ? RESTING_BEAT_MS : BEAT_MS;
+    cancelBeat = clock.after(periodMs, beat);
+    listeners.forEach((listener) => listener(delayMs));
+  }
+
   function afterPoll(): void {
     watching = false;
     polls++;
@@ -189,21 +218,15 @@
     });
   }
 
-  const endBeat = clock.every(BEAT_MS, () => {
-    check();
-    const now = clock.now();
-    const delayMs = Math.max(0, now - beatAt - BEAT_MS);
-    beatAt = now;
-    listeners.forEach((listener) => listener(delayMs));
-  });
+  let cancelBeat = clock.after(periodMs, beat);
 
   return {
     get late() {
-      check();
+      checkAwake();
       return polls < lateUntil;
     },
     get unreadMs() {
-      check();
+      checkAwake();
       return polls < heldUntil ? heldMs : 0;
     },
     noteAccepted() {
@@ -214,6 +237,6 @@
     caughtUp: wait,
     closingsKnown: () => wait(() => true),
     onBeat: (listener) => void listeners.push(listener),
-    stop: endBeat,
+    stop: () => cancelBeat(),
   };
 }
--- a/src/time/event_loop_lag_test.ts
+++ b/src/time/event_loop_lag_test.ts
@@ -25,7 +25,7 @@
   const clock: LoopClock = {
     now: () => now,
     afterPoll: (task) => void tasks.push(task),
-    every(_, task) {
+    after(_, task) {
       beat = task;
       return () => {};
     },
@@ -79,6 +79,28 @@
   t.end();
 });
 
+test("a hold-up is noticed at rest, when the beat is slow", (t) => {
+  const loop = createLoop();
+  for (let count = 0; count < 8; count++) {
+    loop.pass(20);
+    loop.beat();
+  }
+  loop.pass(240);
+  t.notOk(loop.lag.late, "the beat is not due yet");
+  for (let count = 0; count < 8; count++) {
+    loop.pass(20);
+    loop.beat();
+  }
+  loop.pass(620);
+  t.ok(loop.lag.late);
+  t.equal(loop.lag.unreadMs, 370);
+  loop.poll();
+  loop.pass(75);
+  t.ok(loop.lag.late, "and the beat is fast again");
+  t.equal(loop.lag.unreadMs, 370);
+  t.end();
+});
+
 test("work waits for the poll that tells of closings", async (t) => {
   const loop = createLoop();
   const started: string[] = [];
--- a/tests/scenario/rest_test.ts
+++ b/tests/scenario/rest_test.ts
@@ -29,7 +29,7 @@
   const lag = createEventLoopLag({
     now: clock.now,
     afterPoll: (task) => queueMicrotask(task),
-    every: (periodMs, task) => clock.every(periodMs, task).cancel,
+    after: (delayMs, task) => clock.after(delayMs, task).cancel,
   });
   lag.onBeat(() => beats++);
   await clock.advance(SECONDS * 1_000);
