Write the head of a frame as JSON, and check its shape by a list of fields

The head is JSON now, which the runtime's own code writes and reads; the bytes of a body follow it as they are. The shape of what comes is checked by the fields of the same schemas, still before anything uses it. New test: each kind is read as it was written; what is no frame is not taken.

Nodes of an earlier version cannot exchange frames with these.

--- /dev/null
+++ b/src/network/frame_codec_test.ts
@@ -0,0 +1,94 @@
+import { test } from "tap";
+import { decodeFrame, encodeFrame, LENGTH_BYTES } from "./frame_codec.ts";
+import type { Attempt, Frame } from "./frames.ts";
+
+const ATTEMPT: Attempt = {
+  kind: "attempt",
+  attempt: { source: "a", order: 7 },
+  incarnation: "i",
+  version: 3,
+  from: "10.0.0.1:7380",
+  requestId: "r",
+  service: "work",
+  caller: "",
+  class: "look",
+  tenant: "default",
+  rank: 2,
+  repeatable: true,
+  timeLeftMs: 199.25,
+  method: "GET",
+  path: "/look/ä?b=c",
+  headers: [["host", "a"], ["x-latin", "\u00e9"]],
+  suspect: false,
+  elsewhere: true,
+  body: Buffer.from([0, 255, 123, 34]),
+  streaming: false,
+};
+const LOAD = {
+  inFlight: 1,
+  allowed: 14,
+  queued: 0,
+  version: 3,
+  slowness: 1.2,
+  incarnation: "i",
+};
+const FRAMES: Frame[] = [
+  ATTEMPT,
+  { ...ATTEMPT, objectiveLeftMs: -3.5, body: Buffer.alloc(0) },
+  {
+    kind: "answer",
+    attempt: ATTEMPT.attempt,
+    status: 200,
+    headers: [],
+    body: Buffer.alloc(70_000, 7),
+    streaming: true,
+    load: LOAD,
+  },
+  {
+    kind: "refused",
+    attempt: ATTEMPT.attempt,
+    reason: "slow",
+    retryAfterMs: 12.5,
+    load: LOAD,
+  },
+  { kind: "data", bytes: Buffer.from("part") },
+  { kind: "pong" },
+  { kind: "pong", load: LOAD },
+  { kind: "view_request", services: ["a", "b"] },
+  { kind: "view", view: { global: undefined } },
+  { kind: "suspicion", fingerprint: "f", crash: "c", cleared: false },
+];
+
+function afterLength(bytes: Buffer): Buffer {
+  return bytes.subarray(LENGTH_BYTES);
+}
+
+test("a frame is read as it was written", (t) => {
+  for (const frame of FRAMES) {
+    const bytes = encodeFrame(frame);
+    t.equal(bytes.readUInt32BE(0), bytes.length - LENGTH_BYTES);
+    t.match(decodeFrame(afterLength(bytes)), frame, frame.kind);
+  }
+  t.end();
+});
+
+test("what is no frame is not taken", (t) => {
+  const { path: _, ...withoutPath } = ATTEMPT;
+  const bad: unknown[] = [
+    { kind: "unheard" },
+    withoutPath,
+    { ...ATTEMPT, rank: "2" },
+    { ...ATTEMPT, headers: [["host"]] },
+    { ...ATTEMPT, headers: [["host", 7]] },
+    { ...ATTEMPT, attempt: { source: "a" } },
+    { ...ATTEMPT, attempt: null },
+    { kind: "fence_state", state: "odd" },
+    { kind: "view_request", services: [1] },
+  ];
+  for (const frame of bad) {
+    t.throws(() => decodeFrame(afterLength(encodeFrame(frame as Frame))));
+  }
+  t.throws(() => decodeFrame(Buffer.from("nothing of the kind")));
+  t.throws(() => decodeFrame(Buffer.alloc(0)));
+  t.end();
+});
--- a/src/network/tcp.ts
+++ b/src/network/tcp.ts
@@ -1,10 +1,9 @@
 /**
- * Channels over TCP: each frame is a 32-bit length and a MessagePack value.
+ * Channels over TCP.
  * @module
  */
 import { createServer, type Socket } from "node:net";
 import { connect as connectSocket } from "node:net";
-import { Packr } from "msgpackr";
 import { createCanceller } from "../core/cancellation.ts";
 import { errorMessage, StepError, TimeoutError } from "../core/errors.ts";
 import {
@@ -13,30 +12,13 @@
   type Network,
   splitAddress,
 } from "./channel.ts";
-import { type Frame, frameSchema } from "./frames.ts";
+import { decodeFrame, encodeFrame, LENGTH_BYTES } from "./frame_codec.ts";
 import { type EventLoopLag, noLag } from "../time/event_loop_lag.ts";
 import { createInbox, MAX_UNREAD_FRAMES } from "./inbox.ts";
 
-const LENGTH_BYTES = 4;
 /** Largest frame accepted, in bytes. */
 export const MAX_FRAME_BYTES = 1 << 20;
 
-const packr = new Packr({ useRecords: false });
-
-/** Encodes a frame with its length in front. */
-export function encodeFrame(frame: Frame): Buffer {
-  const payload = packr.pack(frame);
-  const buffer = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
-  buffer.writeUInt32BE(payload.length, 0);
-  payload.copy(buffer, LENGTH_BYTES);
-  return buffer;
-}
-
-/** Decodes the payload of a frame; throws when it has no known shape. */
-export function decodeFrame(payload: Uint8Array): Frame {
-  return frameSchema.parse(packr.unpack(payload));
-}
-
 /** Wraps a connected socket. */
 function createTcpChannel(
   socket: Socket,
--- a/tests/platform/held_lab.ts
+++ b/tests/platform/held_lab.ts
@@ -2,7 +2,7 @@
  * What clients of a node that is held up write, and what became of it.
  * @module
  */
-import { decodeFrame, encodeFrame } from "../../src/network/tcp.ts";
+import { decodeFrame, encodeFrame } from "../../src/network/frame_codec.ts";
 import type { Attempt, Frame } from "../../src/network/frames.ts";
 import { HEALTH_PATH } from "../../src/http/caller_front.ts";
 import type { Group, Leaving } from "../held_callers.ts";
