Take steps out of each call: timers, closures, quantiles, a lazy getter

Signs of life came from an interval timer for each wait and each run, although most attempts end before the first is due; one timer serves all that wait now, and the time without a sign is at most what it was.

--- a/src/core/headers.ts
+++ b/src/core/headers.ts
@@ -40,15 +40,30 @@
   headers: HeaderList,
   name: string,
 ): string | undefined {
-  return headers.find(([key]) => key === name)?.[1];
+  for (const header of headers) {
+    if (header[0] === name) {
+      return header[1];
+    }
+  }
+  return undefined;
 }
 
+/** Names of headers that a `connection` header keeps to its connection. */
+function namedIn(connection: string): readonly string[] {
+  return connection.split(",").map((name) => name.trim().toLowerCase());
+}
+
+const NONE: readonly string[] = [];
+
 /** Drops headers that concern one connection, also those it names itself. */
 export function endToEnd(headers: HeaderList): HeaderList {
-  const named = (headerValue(headers, "connection") ?? "")
-    .split(",")
-    .map((name) => name.trim().toLowerCase());
-  return headers.filter(([name]) =>
-    !HOP_HEADERS.has(name) && !named.includes(name)
-  );
+  const connection = headerValue(headers, "connection");
+  const named = connection === undefined ? NONE : namedIn(connection);
+  const kept: HeaderList = [];
+  for (const header of headers) {
+    if (!HOP_HEADERS.has(header[0]) && !named.includes(header[0])) {
+      kept.push(header);
+    }
+  }
+  return kept;
 }
--- a/src/guard/connection_pool.ts
+++ b/src/guard/connection_pool.ts
@@ -4,6 +4,7 @@
  * the others can grow old and end.
  * @module
  */
+import { performance } from "node:perf_hooks";
 import { Agent, type ClientRequest } from "node:http";
 import { connect, type Socket } from "node:net";
 import { splitAddress } from "../network/channel.ts";
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -50,6 +50,7 @@
   createServerLink,
 } from "./server_link.ts";
 import { createServerWatch } from "./server_watch.ts";
+import { createSignsOfLife } from "./signs_of_life.ts";
 import { sheddingReason } from "./load_shedding.ts";
 import type { Completion, Warmup } from "./warmup.ts";
 
@@ -159,13 +160,8 @@
     }),
   });
   const ledger = createAttemptLedger(LEDGER_CAPACITY);
-  const resumption = createResumption({
-    incarnation,
-    ledger,
-    timer,
-    load,
-    keepaliveMs,
-  });
+  const signs = createSignsOfLife(timer, keepaliveMs);
+  const resumption = createResumption({ incarnation, ledger, signs, load });
   const ramp: ColdRamp = createColdRamp(UNSET_RAMP);
   const coldRate = createColdRate(timer, () => ({
     perSecond: settings()?.cold_rate_per_s ?? 1,
@@ -497,12 +493,26 @@
       ended: (end: End) => void;
     },
   ): Promise<void> {
-    const { attempt } = frame;
     const alone = frame.suspect || suspicionOf(frame) === "suspect";
     // A long wait must not look like a lost connection.
-    const keepalive = timer.every(keepaliveMs(), () => {
-      void channel.send({ kind: "pong" }).catch(() => {});
-    });
+    const endSigns = signs.show(channel);
+    try {
+      await admitWhileShown(channel, { frame, alone, gone, ended });
+    } finally {
+      endSigns();
+    }
+  }
+
+  async function admitWhileShown(
+    channel: Channel,
+    { frame, alone, gone, ended }: {
+      frame: Attempt;
+      alone: boolean;
+      gone: Cancellation;
+      ended: (end: End) => void;
+    },
+  ): Promise<void> {
+    const { attempt } = frame;
     const askedAt = timer.now();
     const admitting = admission.admit(
       applicantOf(frame, { alone, signal: gone }),
@@ -513,7 +523,6 @@
     const verdict = await admitting;
     const waitedMs = timer.now() - askedAt;
     metrics.timing("queue_wait", frame.class, waitedMs);
-    keepalive.cancel();
     if (verdict.kind === "refused") {
       await refuseStarted(channel, { frame, refused: verdict, ended });
       return;
@@ -552,7 +561,6 @@
       gone,
       load,
       shedMeansNotRun: settings()?.shed_means_not_run ?? false,
-      keepaliveMs: keepaliveMs(),
       onFailure: (error) => noteFailure(frame, error),
       onCompletion: (completion) => {
         if (completion.ok) {
--- a/src/guard/resumption.ts
+++ b/src/guard/resumption.ts
@@ -5,7 +5,7 @@
  */
 import type { Channel } from "../network/channel.ts";
 import type { AttemptId, Failed, Load } from "../network/frames.ts";
-import type { Timer } from "../time/timer.ts";
+import type { SignsOfLife } from "./signs_of_life.ts";
 import { attemptKey, type AttemptLedger } from "./attempt_ledger.ts";
 import { createResponseCache, type KeptEnd } from "./response_cache.ts";
 import type { End } from "./run.ts";
@@ -14,10 +14,8 @@
 export interface ResumptionOptions {
   incarnation: string;
   ledger: AttemptLedger;
-  timer: Timer;
+  signs: SignsOfLife;
   load: () => Load;
-  /** Interval of signs of life while an attempt is waited for. */
-  keepaliveMs: () => number;
 }
 
 /** An attempt that waits or runs. */
@@ -45,7 +43,7 @@
 
 /** Creates a resumption that knows of no attempt. */
 export function createResumption(options: ResumptionOptions): Resumption {
-  const { incarnation, ledger, timer, load, keepaliveMs } = options;
+  const { incarnation, ledger, signs, load } = options;
   const kept = createResponseCache(KEPT_ANSWER_BYTES);
   const running = new Map<string, Promise<End>>();
 
@@ -54,12 +52,9 @@
     channel: Channel,
     attempt: AttemptId,
   ): Promise<End | undefined> {
-    const keepalive = timer.every(keepaliveMs(), () => {
-      void channel.send({ kind: "pong" }).catch(() => {});
-    });
-    const ending = await running.get(attemptKey(attempt))
-      ?.finally(() => keepalive.cancel());
-    keepalive.cancel();
+    const endSigns = signs.show(channel);
+    const ending = await running.get(attemptKey(attempt))?.finally(endSigns);
+    endSigns();
     return kept.get(attempt) ?? ending;
   }
 
--- a/src/guard/run.ts
+++ b/src/guard/run.ts
@@ -63,7 +63,6 @@
   gone: Cancellation;
   load: () => Load;
   shedMeansNotRun: boolean;
-  keepaliveMs: number;
   onFailure: (error: BackendError) => void;
   onCompletion: (completion: Omit<Completion, "class">) => void;
   /** The head of an answer has come. */
@@ -109,9 +108,6 @@
   const startedAt = timer.now();
   let headSent = false;
   const stop = createCanceller();
-  const keepalive = timer.every(options.keepaliveMs, () => {
-    void channel.send({ kind: "pong" }).catch(() => {});
-  });
   // Work that must not be repeated may end late, so that its answer is kept.
   const longestMs = frame.timeLeftMs +
     (frame.repeatable ? REPEATABLE_GRACE_MS : UNREPEATABLE_GRACE_MS);
@@ -283,7 +279,6 @@
     return { end, sent: deliverFailure(end) };
   }).finally(() => {
     releaseGone();
-    keepalive.cancel();
     expiry.cancel();
   });
 
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -2,6 +2,7 @@
  * HTTP servers with limits on slow and oversized requests.
  * @module
  */
+import { performance } from "node:perf_hooks";
 import {
   createServer,
   type IncomingMessage,
--- a/src/metrics/event_loop.ts
+++ b/src/metrics/event_loop.ts
@@ -3,7 +3,7 @@
  * garbage collection pauses.
  * @module
  */
-import { PerformanceObserver } from "node:perf_hooks";
+import { performance, PerformanceObserver } from "node:perf_hooks";
 import { build } from "hdr-histogram-js";
 import { createLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -10,6 +10,8 @@
 const SIGNIFICANT_DIGITS = 2;
 const MAX_SERIES = 400;
 const MIN_SAMPLES = 50;
+/** Share of new samples from which a quantile is worked out again. */
+const RENEWED_SHARE = 0.25;
 const OTHER_TENANT = "(other)";
 
 /** Latencies of one tenant and class. */
@@ -117,6 +119,11 @@
   }"}`;
 }
 
+/** Samples after which a quantile of so many is worked out again. */
+function renewAfter(count: number): number {
+  return Math.max(MIN_SAMPLES, count * RENEWED_SHARE);
+}
+
 /** Creates empty metrics. */
 export function createMetrics(): Metrics {
   const series = new Map<string, Series>();
@@ -229,8 +236,8 @@
       const name = `${className} ${quantile}`;
       const known = quantiles.get(name);
       const count = histogram.totalCount;
-      // A quantile is worked out again only after some more samples.
-      if (known && count - known.count < MIN_SAMPLES) {
+      // A quantile is worked out again only after a good part of new samples.
+      if (known && count - known.count < renewAfter(known.count)) {
         return known.value;
       }
       const value = milliseconds(histogram, quantile * 100);
--- a/src/time/event_loop_lag.ts
+++ b/src/time/event_loop_lag.ts
@@ -5,6 +5,7 @@
  * that was read late waits here until that poll has been.
  * @module
  */
+import { performance } from "node:perf_hooks";
 
 /** Lag from which on work waits for the next poll, in milliseconds. */
 const LATE_MS = 50;
--- a/src/time/timer.ts
+++ b/src/time/timer.ts
@@ -2,6 +2,7 @@
  * The timer service that every part subscribes to, and waits built on it.
  * @module
  */
+import { performance } from "node:perf_hooks";
 import { TimeoutError } from "../core/errors.ts";
 
 /** A running subscription to the timer service. */
--- a/tests/guard/endless_bodies_test.ts
+++ b/tests/guard/endless_bodies_test.ts
@@ -112,7 +112,6 @@
         gone,
         load: () => LOAD,
         shedMeansNotRun: true,
-        keepaliveMs: 100,
         onFailure: (error) => failures.push(error.failure),
         onCompletion: () => {},
         onVerdict: noteHead,
