Serve a call beside its node while that server would begin it at once

A call of a VM whose own server could run it went to another VM six times in seven: a second node's processor time, an exchange over the network, and a state of the other server that is some tens of milliseconds old.

Placement stands in a module of its own, out of the ingress's closure; hints work out a candidate from one reading of the clock.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -51,6 +51,7 @@
 } from "./server_link.ts";
 import { createServerWatch } from "./server_watch.ts";
 import { createSignsOfLife } from "./signs_of_life.ts";
+import { isFirstChoice } from "./first_choice.ts";
 import { sheddingReason } from "./load_shedding.ts";
 import type { Completion, Warmup } from "./warmup.ts";
 
@@ -110,6 +111,8 @@
   supersede(): void;
   /** Answers the attempts of one channel until it closes. */
   serve(channel: Channel): Promise<void>;
+  /** Whether a request for a service would begin at once, and run as usual. */
+  startsAtOnce(service: string): boolean;
   /** Present load. */
   load(): Load;
   /** Returns the state of the guard. */
@@ -292,6 +295,15 @@
     if (frame.incarnation !== incarnation) {
       return "other_incarnation";
     }
+    const closed = closedTo(frame.service);
+    if (closed) {
+      return closed;
+    }
+    return suspicionOf(frame) === "quarantined" ? "quarantined" : undefined;
+  }
+
+  /** Why nothing runs here for a service, whatever the request. */
+  function closedTo(service: string): RefusalReason | undefined {
     if (draining || leaving) {
       return "draining";
     }
@@ -301,17 +313,25 @@
     if (directory.serverOut(vm)) {
       return "server_out";
     }
-    const serves = link.announced?.service === frame.service;
+    const serves = link.announced?.service === service;
     if (!link.backend || link.down || !serves) {
       return "no_backend_server";
     }
-    if (!settings()) {
-      return "not_ready";
-    }
-    if (suspicionOf(frame) === "quarantined") {
-      return "quarantined";
+    return settings() ? undefined : "not_ready";
+  }
+
+  function startsAtOnce(service: string): boolean {
+    if (superseded || closedTo(service) || warmup().cold) {
+      return false;
     }
-    return undefined;
+    return isFirstChoice({
+      inFlight: admission.inFlight,
+      queued: admission.queued,
+      allowed: warmup().allowed,
+      report: link.report &&
+        { slowness: link.report.slowness, ageMs: link.reportAgeMs },
+      failingShare: watch.failingShare(),
+    });
   }
 
   /** Why another guard is the better place, if the sender will ask one. */
@@ -664,6 +684,7 @@
     get announced() {
       return link.announced;
     },
+    startsAtOnce,
     load,
     probe: link.probe,
     get reportAgeMs() {
--- a/src/ingress/hints.ts
+++ b/src/ingress/hints.ts
@@ -88,11 +88,12 @@
   }
 
   /** Age of the oldest attempt in flight: it will take at least as long. */
-  function oldestAge(hint: Hint): number {
-    for (const { at, usualMs } of hint.started.values()) {
-      return relative(timer.now() - at, usualMs);
+  function oldestAge(hint: Hint, now: number): number {
+    if (hint.started.size === 0) {
+      return 0;
     }
-    return 0;
+    const { at, usualMs } = hint.started.values().next().value!;
+    return relative(now - at, usualMs);
   }
 
   /** Expresses a latency as if the usual one were the initial estimate. */
@@ -106,44 +107,55 @@
     hint.ownAtReport = hint.started.size;
   }
 
-  /** Share of an observation that still counts. */
-  function remembered(since: number): number {
-    return 0.5 ** ((timer.now() - since) / FORGIVE_HALF_LIFE_MS);
+  /** Share of an observation that still counts after some time. */
+  function remembered(ageMs: number): number {
+    return 0.5 ** (ageMs / FORGIVE_HALF_LIFE_MS);
   }
 
   /** Lets old failures fade, so that a server gets another chance. */
-  function currentFailures(hint: Hint): number {
-    return hint.failures * remembered(hint.failuresAt);
+  function currentFailures(hint: Hint, now: number): number {
+    return hint.failures === 0
+      ? 0
+      : hint.failures * remembered(now - hint.failuresAt);
   }
 
   /** Lets old slowness fade too: a server seen slow long ago is tried again. */
-  function currentLatency(hint: Hint): number {
-    const excess = Math.max(0, hint.latencyMs - INITIAL_LATENCY_MS);
-    return hint.latencyMs - excess * (1 - remembered(hint.latencyAt));
+  function currentLatency(hint: Hint, now: number): number {
+    const excess = hint.latencyMs - INITIAL_LATENCY_MS;
+    return excess <= 0
+      ? hint.latencyMs
+      : INITIAL_LATENCY_MS + excess * remembered(now - hint.latencyAt);
   }
 
   /** Slowness as last reported, which says little after a short time. */
-  function currentSlowness(hint: Hint): number {
+  function currentSlowness(hint: Hint, now: number): number {
     const slowness = hint.load?.slowness ?? 1;
-    const share = 0.5 ** ((timer.now() - hint.loadAt) / SLOWNESS_HALF_LIFE_MS);
+    if (slowness === 1) {
+      return 1;
+    }
+    const share = 0.5 ** ((now - hint.loadAt) / SLOWNESS_HALF_LIFE_MS);
     return 1 + (slowness - 1) * share;
   }
 
   function observe(hint: Hint, observation: Observation): void {
     const { ok, latencyMs, load, cancelled } = observation;
-    if (cancelled && latencyMs <= currentLatency(hint)) {
+    const now = timer.now();
+    if (cancelled && latencyMs <= currentLatency(hint, now)) {
       return;
     }
     const sample = ok
       ? latencyMs
       : Math.max(MIN_FAILURE_LATENCY_MS, latencyMs * FAILURE_SLOWNESS);
     // The longer nothing was noticed, the more the new sample counts.
-    const weight = Math.max(LATENCY_WEIGHT, 1 - remembered(hint.latencyAt));
+    const weight = Math.max(
+      LATENCY_WEIGHT,
+      1 - remembered(now - hint.latencyAt),
+    );
     hint.latencyMs += weight * (sample - hint.latencyMs);
-    hint.latencyAt = timer.now();
-    const failures = currentFailures(hint);
+    hint.latencyAt = now;
+    const failures = currentFailures(hint, now);
     hint.failures = failures + FAILURE_WEIGHT * ((ok ? 0 : 1) - failures);
-    hint.failuresAt = timer.now();
+    hint.failuresAt = now;
     if (load) {
       takeLoad(hint, load);
     }
@@ -164,6 +176,7 @@
     report: (server, load) => takeLoad(hintOf(server), load),
     candidate(member, domain) {
       const hint = hintOf(member.server);
+      const now = timer.now();
       return {
         server: member.server,
         local: member.domain === domain,
@@ -171,11 +184,11 @@
         reported: hint.load?.inFlight ?? 0,
         queued: hint.load?.queued ?? 0,
         allowed: hint.load?.allowed ?? member.slots,
-        ageMs: timer.now() - hint.loadAt,
+        ageMs: now - hint.loadAt,
         ownAtReport: hint.ownAtReport,
-        latencyMs: Math.max(currentLatency(hint), oldestAge(hint)),
-        slowness: currentSlowness(hint),
-        failures: currentFailures(hint),
+        latencyMs: Math.max(currentLatency(hint, now), oldestAge(hint, now)),
+        slowness: currentSlowness(hint, now),
+        failures: currentFailures(hint, now),
       };
     },
     incarnationOf: (member) =>
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Recorder } from "../account/events.ts";
-import { type Candidate, createPolicy, type Policy } from "../choosing/mod.ts";
+import { createPolicy } from "../choosing/mod.ts";
 import type { Claim, ClaimResult, Member } from "../control/commands.ts";
 import { headerValue, KEY_HEADER } from "../core/headers.ts";
 import type { Logger } from "../core/logger.ts";
@@ -24,13 +24,11 @@
 import { type AnswerSizes, createAnswerSizes } from "./answer_sizes.ts";
 import { createServiceBudgets } from "./budget.ts";
 import { type Call, notRunReply, type Reply, unknownReply } from "./call.ts";
-import { MEDIAN } from "./attempt.ts";
 import { createDispatcher } from "./dispatch.ts";
 import type { Exchanger } from "./exchange.ts";
-import { firstFreeOfFull, isKnown } from "./fleet_state.ts";
 import { createHints, type Hints } from "./hints.ts";
 import { createKeyedCalls } from "./keyed.ts";
-import type { FleetOutlook } from "./search.ts";
+import { createPlacement, type Placement } from "./placement.ts";
 import { createSpentTime } from "./spent_time.ts";
 
 /** Commits claims through control's quorum. */
@@ -79,6 +77,8 @@
   logger: Logger;
   /** Name of the choosing policy. */
   policy?: string;
+  /** Whether the server on this VM would begin a request at once. */
+  startsHere?: (service: string) => boolean;
 }
 
 /** A request with its route found and its settings known. */
@@ -95,13 +95,9 @@
 }
 
 /** The parts of an ingress that its modules share. */
-export interface IngressParts extends IngressOptions {
+export interface IngressParts extends IngressOptions, Placement {
   hints: Hints;
   sizes: AnswerSizes;
-  /** Chooses a backend server for a request, but for some. */
-  choose(routed: RoutedCall, avoid: ReadonlySet<string>): Member | undefined;
-  /** What is known of the servers of a request, but for some. */
-  outlook(routed: RoutedCall, avoid: ReadonlySet<string>): FleetOutlook;
   attemptFrame(routed: RoutedCall, options: FrameOptions): Attempt;
 }
 
@@ -125,24 +121,26 @@
 }
 
 const DEFAULT_POLICY = "expected_wait";
-/** Share of calls spent on warming servers; below what p99 shows. */
-const WARMING_SHARE = 0.008;
 const MAX_KEY_LENGTH = 200;
 const MAX_TENANT_LENGTH = 64;
 const DEFAULT_TENANT = "default";
 const BAD_REQUEST = 400;
-/** Time that work is taken to need while nothing is known of it, in ms. */
-const UNKNOWN_WORK_MS = 50;
 
 /** Creates an ingress. */
 export function createIngress(options: IngressOptions): Ingress {
-  const { directory, domain, timer, random, metrics } = options;
+  const { directory, timer, random, metrics } = options;
   const hints = createHints(timer);
   const sizes = createAnswerSizes();
   const spentTime = createSpentTime();
-  const policy: Policy = createPolicy(options.policy ?? DEFAULT_POLICY, {
-    staleAfterMs: () =>
-      directory.global?.limits.measuring.load_stale_after_ms ?? Infinity,
+  const placement = createPlacement({
+    ...options,
+    hints,
+    sizes,
+    policy: createPolicy(options.policy ?? DEFAULT_POLICY, {
+      staleAfterMs: () =>
+        directory.global?.limits.measuring.load_stale_after_ms ?? Infinity,
+    }),
+    startsHere: options.startsHere ?? (() => false),
   });
   const log = createRequestLog(options);
   const incarnations = new Map<string, string>();
@@ -162,74 +160,6 @@
   }
   directory.onChange((change) => change.services.forEach(noteReplacements));
 
-  /** Members in service of a request's service, but for some. */
-  function openMembers(
-    { route }: RoutedCall,
-    avoid: ReadonlySet<string>,
-  ): Member[] {
-    const members = directory.service(route.service)?.members ?? [];
-    return members.filter((member) =>
-      directory.inService(member) && !avoid.has(member.server)
-    );
-  }
-
-  function withIncarnation(member: Member): Member {
-    return { ...member, incarnation: hints.incarnationOf(member) };
-  }
-
-  function outlook(
-    routed: RoutedCall,
-    avoid: ReadonlySet<string>,
-  ): FleetOutlook {
-    const open = openMembers(routed, avoid);
-    const candidates = open.map((one) => hints.candidate(one, domain));
-    const allKnown = open.length > 0 && candidates.every(isKnown);
-    const usualMs = () =>
-      metrics.quantile(routed.settings.class, MEDIAN) ?? UNKNOWN_WORK_MS;
-    const first = firstFreeOfFull(candidates, { usualMs, random });
-    const member = open.find((one) => one.server === first?.server);
-    return !first || !member ? { allKnown } : {
-      allKnown,
-      firstFree: { member: withIncarnation(member), waitMs: first.waitMs },
-    };
-  }
-
-  function choose(
-    routed: RoutedCall,
-    avoid: ReadonlySet<string>,
-  ): Member | undefined {
-    const { settings } = routed;
-    const open = openMembers(routed, avoid);
-    if (open.length === 0) {
-      return undefined;
-    }
-    const candidates = open.map((one) => hints.candidate(one, domain));
-    const chosen = warming(open, candidates) ??
-      policy.choose(candidates, random, {
-        answerBytes: sizes.of(settings.class),
-      });
-    const member = open.find((one) => one.server === chosen.server);
-    return member && withIncarnation(member);
-  }
-
-  /**
-   * Now and then returns a cold server with room: it only warms up by work,
-   * which it would never get by being the best choice.
-   */
-  function warming(
-    open: readonly Member[],
-    candidates: readonly Candidate[],
-  ): Candidate | undefined {
-    if (random.fraction() >= WARMING_SHARE) {
-      return undefined;
-    }
-    const cold = candidates.filter((candidate, index) =>
-      candidate.allowed > 0 && candidate.allowed < open[index].slots &&
-      candidate.own < candidate.allowed
-    );
-    return cold[random.integer(Math.max(1, cold.length))];
-  }
-
   function attemptFrame(
     routed: RoutedCall,
     { member, attempt, suspect, elsewhere }: FrameOptions,
@@ -265,10 +195,9 @@
 
   const parts: IngressParts = {
     ...options,
+    ...placement,
     hints,
     sizes,
-    choose,
-    outlook,
     attemptFrame,
   };
   const budgets = createServiceBudgets(() => ({
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -214,6 +214,7 @@
     recorder,
     logger,
     policy: options.policy,
+    startsHere: (service) => guard.startsAtOnce(service),
   });
   const guard: Guard = createGuard({
     vm,
--- a/tests/scenario/fake_backend.ts
+++ b/tests/scenario/fake_backend.ts
@@ -10,6 +10,7 @@
   type BackendFactory,
   type BackendFailure,
   type BackendRequest,
+  type BackendVerdict,
 } from "../../src/guard/backend.ts";
 import type { Timer } from "../../src/time/timer.ts";
 
@@ -23,6 +24,8 @@
   coldFactor: number;
   /** Requests at once that a cold server bears; more make it fall over. */
   coldBears: number;
+  /** Whether its answers tell its load. */
+  reports?: boolean;
 }
 
 /** One start of a request at a server. */
@@ -170,6 +173,18 @@
     }
   }
 
+  function verdict(): BackendVerdict {
+    const { slots, reports } = shape;
+    const { slowness } = server;
+    return {
+      instance: server.boot,
+      coldMs: reports && !isCold() ? 0 : undefined,
+      report: reports
+        ? { running: inFlight, waiting: 0, slots, slowness }
+        : undefined,
+    };
+  }
+
   async function send(request: BackendRequest) {
     if (!up) {
       await new Promise<void>((resolve) => timer.after(REFUSE_MS, resolve));
@@ -183,7 +198,7 @@
         status: server.leaves ? 503 : 200,
         headers: [],
         body: bodyOf("ok", request),
-        verdict: { instance: server.boot },
+        verdict: verdict(),
       };
     }
     const requestId = headerOf(request, "mustardcross-request-id");
@@ -208,6 +223,7 @@
       status: 200,
       headers: [],
       body: bodyOf(`done ${requestId}`, request),
+      verdict: shape.reports ? verdict() : undefined,
     };
   }
 
--- a/tests/scenario/small_world.ts
+++ b/tests/scenario/small_world.ts
@@ -22,6 +22,8 @@
   coldRatePerS?: number;
   /** Lag of all nodes; none by default. */
   lag?: EventLoopLag;
+  /** Whether servers tell their load. */
+  reports?: boolean;
   /** Settings of the route to look. */
   look?: Partial<RoutePolicy>;
 }
@@ -69,6 +71,7 @@
       coldCompletions: 0,
       coldFactor: 1,
       coldBears: 100,
+      reports: options.reports,
     },
   });
   await world.begin();
