--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -19,6 +19,8 @@
 const WAIT_MS = 20_000;
 const RETRY_MS = 100;
 const PORTS = 10;
+/** Usual time of a request at the backend server, in milliseconds. */
+const WORK_MS = 1;
 
 /** A node of the fleet. */
 export interface FleetNode {
@@ -28,14 +30,6 @@
   local: string;
 }
 
-/** Options of {@link startFleet}. */
-export interface FleetOptions {
-  /** Flags of the runtime of both nodes. */
-  nodeFlags?: readonly string[];
-  /** Usual time of a request at the backend server, in milliseconds. */
-  workMs?: number;
-}
-
 /** A fleet that serves. */
 export interface Fleet {
   nodes: FleetNode[];
@@ -49,12 +43,8 @@
   kill(): void;
 }
 
-function start(
-  script: string,
-  args: string[],
-  flags: readonly string[] = [],
-): Started {
-  const child = spawn(process.execPath, [...flags, script, ...args], {
+function start(script: string, args: string[]): Started {
+  const child = spawn(process.execPath, [script, ...args], {
     stdio: "ignore",
   });
   return { kill: () => child.kill("SIGKILL") };
@@ -100,8 +90,7 @@
  * Starts a fleet and waits until it serves. Only the second node has a backend
  * server: a call to the first takes two hops, a call to the second takes one.
  */
-export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
-  const { nodeFlags = [], workMs = 1 } = options;
+export async function startFleet(): Promise<Fleet> {
   const folder = mkdtempSync(join(tmpdir(), "mustardcross-bench-"));
   const ports = await freePorts(PORTS);
   const at = (index: number): string => `${HOST}:${ports[index]}`;
@@ -132,7 +121,7 @@
           `caller_address = "${caller}"\npeer_address = "${peer}"\n` +
           `local_address = "${local}"\n`,
       );
-      started.push(start(MAIN, ["node", "--settings", file], nodeFlags));
+      started.push(start(MAIN, ["node", "--settings", file]));
       return { caller, local };
     });
     const backend = at(8);
@@ -141,7 +130,7 @@
         "billing",
         backend,
         nodes[1].local,
-        String(workMs),
+        String(WORK_MS),
         "0.001",
       ]),
     );
--- a/src/guard/connection_pool.ts
+++ b/src/guard/connection_pool.ts
@@ -152,7 +152,7 @@
       clearTimeout(timeout);
       state.connected = true;
     });
-    socket.on("data", (bytes) => this.#check(socket, bytes));
+    socket.on("data", (bytes) => this.#checkStray(socket, bytes));
     socket.once("end", () => {
       // An end whose peer is gone was a reset that came with the last bytes.
       state.wasReset = socket.remoteAddress === undefined;
@@ -168,7 +168,7 @@
   }
 
   /** Destroys a connection that brings too much beside answers. */
-  #check(socket: Socket, bytes: Buffer): void {
+  #checkStray(socket: Socket, bytes: Buffer): void {
     const { busy, bytesAtProgress } = this.#states.get(socket)!;
     const { strayBytes, excess } = this.#options;
     // These bytes are parsed next; the ones before were.
--- a/src/guard/crash_watch.ts
+++ b/src/guard/crash_watch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Recorder } from "../account/events.ts";
+import { fingerprintOf, type RequestContent } from "../core/fingerprint.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Frame } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
@@ -34,14 +35,14 @@
   readonly suspects: number;
   /** Whether connections were reset since the last crash. */
   readonly sawResets: boolean;
-  /** Returns what is known of a fingerprint. */
-  judge(fingerprint: string): Suspicion;
+  /** Returns what is known of a request. */
+  judge(request: RequestContent): Suspicion;
   /** A connection was reset while a request was in flight. */
-  noteReset(fingerprint: string): void;
+  noteReset(request: RequestContent): void;
   /** The backend server crashed; accuses what was reset lately. */
   accuse(crash: string): void;
   /** A suspect ran alone to its end. */
-  acquit(fingerprint: string): void;
+  acquit(request: RequestContent): void;
   /** Another guard tells of a suspicion. */
   hear(frame: SuspicionFrame): void;
 }
@@ -83,8 +84,14 @@
     get sawResets() {
       return resets.length > 0;
     },
-    judge: quarantine.judge,
-    noteReset(fingerprint) {
+    judge(request) {
+      // Mostly nothing is suspected, and no fingerprint worked out.
+      return quarantine.size === 0
+        ? "none"
+        : quarantine.judge(fingerprintOf(request));
+    },
+    noteReset(request) {
+      const fingerprint = fingerprintOf(request);
       resets.push({ fingerprint, at: timer.now() });
     },
     accuse(crash) {
@@ -98,7 +105,8 @@
         cause: `${suspects.size} requests in flight`,
       });
     },
-    acquit(fingerprint) {
+    acquit(request) {
+      const fingerprint = fingerprintOf(request);
       if (quarantine.clear(fingerprint)) {
         share({ kind: "suspicion", fingerprint, crash: "", cleared: true });
       }
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -10,7 +10,6 @@
   neverCancelled,
 } from "../core/cancellation.ts";
 import { errorFields } from "../core/errors.ts";
-import { fingerprintOf } from "../core/fingerprint.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import { arrivalOf, type EventLoopLag } from "../time/event_loop_lag.ts";
@@ -41,7 +40,6 @@
 import { type ColdRamp, createColdRamp, type RampLimits } from "./cold_ramp.ts";
 import { createColdRate } from "./cold_rate.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
-import type { Suspicion } from "./quarantine.ts";
 import { createResumption } from "./resumption.ts";
 import { type End, runAttempt } from "./run.ts";
 import {
@@ -281,13 +279,6 @@
     applyWithdrawal();
   });
 
-  /** What is known of a request; mostly, no request is suspected. */
-  function suspicionOf(frame: Attempt): Suspicion {
-    return crashes.suspects === 0
-      ? "none"
-      : crashes.judge(fingerprintOf(frame));
-  }
-
   function standing(frame: Attempt): RefusalReason | undefined {
     if (superseded) {
       return "superseded";
@@ -299,7 +290,7 @@
     if (closed) {
       return closed;
     }
-    return suspicionOf(frame) === "quarantined" ? "quarantined" : undefined;
+    return crashes.judge(frame) === "quarantined" ? "quarantined" : undefined;
   }
 
   /** Why nothing runs here for a service, whatever the request. */
@@ -407,7 +398,7 @@
 
   /** Finds out whether a reset connection meant a crash. */
   async function examineReset(frame: Attempt): Promise<void> {
-    crashes.noteReset(fingerprintOf(frame));
+    crashes.noteReset(frame);
     const boot = link.announced?.boot;
     const condition = await link.examine();
     const same = boot === link.announced?.boot;
@@ -513,7 +504,7 @@
       ended: (end: End) => void;
     },
   ): Promise<void> {
-    const alone = frame.suspect || suspicionOf(frame) === "suspect";
+    const alone = frame.suspect || crashes.judge(frame) === "suspect";
     // A long wait must not look like a lost connection.
     const endSigns = signs.show(channel);
     try {
@@ -603,7 +594,7 @@
       ledger.set(attempt, end.kind === "answer" ? "finished" : "failed");
       resumption.keep(end);
       if (alone && end.kind === "answer") {
-        crashes.acquit(fingerprintOf(frame));
+        crashes.acquit(frame);
       }
       ended(end);
     });
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -101,7 +101,7 @@
   parts(answer: IncomingMessage): AsyncGenerator<Uint8Array>;
   /** Ends the connection: what else is on it belongs to no request. */
   destroy(): void;
-  /** The end of the answer is of no use any more to who sent the request. */
+  /** Forgets the sender's cancellation, once the exchange has ended. */
   release(): void;
 }
 
