--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -6,6 +6,7 @@
 import { createRecorder, type Recorder } from "../account/events.ts";
 import type { Member } from "../control/commands.ts";
 import { claimMethod, settleMethod } from "../control/node_methods.ts";
+import { errorFields } from "../core/errors.ts";
 import { createLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
@@ -31,6 +32,7 @@
 import { sleep, type Timer } from "../time/timer.ts";
 import { createControlClient } from "./control_client.ts";
 import { createDirectory, type Directory } from "./directory.ts";
+import { type FreezeWatch, watchFreezes } from "./freeze_watch.ts";
 import { createRegistration } from "./registration.ts";
 import { createReportRefresh } from "./report_refresh.ts";
 import { createSync, type Sync } from "./sync.ts";
@@ -104,10 +106,10 @@
 const DEREGISTER_MS = 200;
 /** Longest wait for the node's own tasks then, in milliseconds. */
 const TASKS_END_MS = 100;
-const FREEZE_MS = 2_000;
 /** Lines a second about silent guards. */
 const SILENCE_LINES_PER_S = 5;
-const WATCH_MS = 1_000;
+/** Interval at which it is looked whether announcements have ended, in ms. */
+const ANNOUNCEMENT_CHECK_MS = 1_000;
 
 /** Creates the `node` role. */
 export function createNode(options: NodeOptions): Node {
@@ -259,6 +261,7 @@
   metrics.gauge("server_slowness", () => guard.load().slowness);
   const open = new Set<Channel>();
   let listener: Listener | undefined;
+  let freezes: FreezeWatch | undefined;
   let announcedAt = timer.now();
   let leaving = false;
   let stopping = false;
@@ -407,18 +410,20 @@
     }
   }
 
-  /** Notices that this process was frozen, and that announcements ended. */
-  async function watchTask(): Promise<void> {
-    let last = timer.now();
+  /** What was known before a freeze is old, and announcements were not read. */
+  function noteFreeze(frozenMs: number): void {
+    logger.warn("node.was_frozen", { ms: Math.round(frozenMs) });
+    announcedAt = timer.now();
+    sync.now().catch((error) =>
+      logger.warn("node.sync_failed", errorFields(error))
+    );
+  }
+
+  /** Notices that announcements ended. */
+  async function announcementTask(): Promise<void> {
     while (!signal.aborted) {
-      await sleep(timer, WATCH_MS, { signal });
-      const frozenMs = timer.now() - last - WATCH_MS;
-      last = timer.now();
-      if (frozenMs > FREEZE_MS) {
-        logger.warn("node.was_frozen", { ms: Math.round(frozenMs) });
-        announcedAt = timer.now();
-        await sync.now();
-      }
+      await sleep(timer, ANNOUNCEMENT_CHECK_MS, { signal });
+      freezes?.look();
       const silentMs = timer.now() - announcedAt;
       const registered = registration.renewal() !== undefined;
       if (registered && silentMs > ANNOUNCEMENT_LEASE_MS) {
@@ -449,7 +454,8 @@
       listener = await options.network.listen(options.peerAddress, serve);
       sync.start();
       supervisor.start("node.probe", probeTask);
-      supervisor.start("node.watch", watchTask);
+      supervisor.start("node.announcements", announcementTask);
+      freezes = watchFreezes(timer, noteFreeze);
     },
     announce,
     async leave(boot, onRecorded = () => {}) {
@@ -488,6 +494,7 @@
       // A call under way to control may last longer than the process has.
       await Promise.race([supervisor.stop(), sleep(timer, TASKS_END_MS)]);
       refresh.stop();
+      freezes?.cancel();
       pool.close();
       for (const channel of [...open]) {
         channel.close();
