Ask a server for its report once, not once for each attempt until it answers

src/node/report_refresh_test.ts, its fourth test: red before (more than one in 150 ms for a server that takes 200 ms), green now.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -237,7 +237,7 @@
     timer,
     ageMs: () => guard.reportAgeMs,
     queued: () => guard.load().queued,
-    ask: () => void checkHealth(),
+    ask: checkHealth,
   });
   const probeBudget = createRateBudget(
     timer,
--- a/src/node/report_refresh.ts
+++ b/src/node/report_refresh.ts
@@ -14,7 +14,7 @@
   /** Attempts that wait at the guard. */
   queued: () => number;
   /** Asks the backend server, if the budget of health checks allows it. */
-  ask: () => void;
+  ask: () => Promise<void>;
 }
 
 /** Keeps a report fresh. */
@@ -35,11 +35,24 @@
 ): ReportRefresh {
   const { timer, ageMs, queued, ask } = options;
   let check: Subscription | undefined;
+  let asking = false;
+
+  async function askOnce(): Promise<void> {
+    if (asking) {
+      return;
+    }
+    asking = true;
+    try {
+      await ask();
+    } finally {
+      asking = false;
+    }
+  }
 
   function needed(): void {
     const age = ageMs();
     if (age > FRESH_MS && Number.isFinite(age)) {
-      ask();
+      void askOnce();
     }
     if (!check && queued() > 0) {
       check = timer.after(CHECK_MS, () => {
--- a/src/node/report_refresh_test.ts
+++ b/src/node/report_refresh_test.ts
@@ -2,7 +2,7 @@
 import { createFakeTimer } from "../time/fake_timer.ts";
 import { createReportRefresh } from "./report_refresh.ts";
 
-function start() {
+function start(answerMs = 0) {
   const timer = createFakeTimer();
   let reportedAt = 0;
   let queued = 0;
@@ -11,8 +11,9 @@
     timer,
     ageMs: () => timer.now() - reportedAt,
     queued: () => queued,
-    ask() {
+    async ask() {
       asked++;
+      await new Promise<void>((resolve) => timer.after(answerMs, resolve));
       reportedAt = timer.now();
     },
   });
@@ -59,3 +60,13 @@
   await timer.advance(1_000);
   t.equal(asked(), 10);
 });
+
+test("a server that is being asked is not asked again", async (t) => {
+  const { timer, refresh, asked } = start(200);
+  await timer.advance(1_000);
+  for (let count = 0; count < 30; count++) {
+    refresh.needed();
+    await timer.advance(5);
+  }
+  t.equal(asked(), 1);
+});
