Show no sign of life behind the end of an attempt

They end with the attempt again, as they did before.

tests/scenario/signs_test.ts was red (signs behind the answer) and is green.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -489,9 +489,16 @@
   ): Promise<void> {
     const gone = createCanceller();
     const release = channel.onClose(gone.cancel);
+    // A long wait must not look like a lost connection.
+    const endSigns = signs.show(channel);
+    function endedForGood(end: End): void {
+      endSigns();
+      ended(end);
+    }
     try {
-      await admitWhileWanted(channel, { frame, gone, ended });
+      await admitWhileWanted(channel, { frame, gone, ended: endedForGood });
     } finally {
+      endSigns();
       release();
     }
   }
@@ -505,24 +512,6 @@
     },
   ): Promise<void> {
     const alone = frame.suspect || crashes.judge(frame) === "suspect";
-    // A long wait must not look like a lost connection.
-    const endSigns = signs.show(channel);
-    try {
-      await admitWhileShown(channel, { frame, alone, gone, ended });
-    } finally {
-      endSigns();
-    }
-  }
-
-  async function admitWhileShown(
-    channel: Channel,
-    { frame, alone, gone, ended }: {
-      frame: Attempt;
-      alone: boolean;
-      gone: Cancellation;
-      ended: (end: End) => void;
-    },
-  ): Promise<void> {
     const { attempt } = frame;
     const askedAt = timer.now();
     const admitting = admission.admit(
