--- a/bench/platform/bundle_fleet.ts
+++ b/bench/platform/bundle_fleet.ts
@@ -14,6 +14,7 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { request } from "undici";
 import { freePorts } from "../../src/demo/ports.ts";
 
@@ -52,14 +53,12 @@
   processorUs(): number;
   /** What the nodes have written to standard error. */
   errors(): string;
+  /** Sends a signal to the nodes. */
+  signal(name: NodeJS.Signals): void;
   /** Ends the processes; resolves once the nodes have. */
   stop(): Promise<void>;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function until(
   what: string,
   condition: () => Promise<boolean>,
@@ -332,6 +331,7 @@
       processorUs: () =>
         nodes.reduce((sum, { pid }) => sum + processorUsOf(pid!), 0),
       errors: () => errors,
+      signal: (name) => nodes.forEach((node) => node.kill(name)),
       stop,
     };
   } catch (error) {
--- a/bench/platform/light_load.ts
+++ b/bench/platform/light_load.ts
@@ -9,13 +9,10 @@
  * @module
  */
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { parseArgs } from "node:util";
-import { Agent, request } from "undici";
-import {
-  type BundleFleet,
-  ROUTE_HOST,
-  startBundleFleet,
-} from "./bundle_fleet.ts";
+import { startBundleFleet } from "./bundle_fleet.ts";
+import { load } from "./load.ts";
 
 const NODES = 3;
 const SLOTS = 14;
@@ -51,45 +48,6 @@
   failed: number;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
-async function call(caller: string, agent: Agent): Promise<boolean> {
-  try {
-    const answer = await request(`http://${caller}/look/7`, {
-      dispatcher: agent,
-      headers: { host: ROUTE_HOST },
-    });
-    await answer.body.dump();
-    return answer.statusCode === 200;
-  } catch {
-    return false;
-  }
-}
-
-/** Calls all nodes in turn, each at a rate. */
-async function load(
-  fleet: BundleFleet,
-  { rate, seconds }: { rate: number; seconds: number },
-): Promise<{ calls: number; failed: number }> {
-  const agent = new Agent({ connections: 64, pipelining: 1 });
-  const perSecond = rate * fleet.callers.length;
-  const ended: Promise<boolean>[] = [];
-  const startedAt = performance.now();
-  for (let count = 0; count < perSecond * seconds; count++) {
-    const dueAt = startedAt + count * MS_PER_SECOND / perSecond;
-    await pause(Math.max(0, dueAt - performance.now()));
-    ended.push(call(fleet.callers[count % fleet.callers.length], agent));
-  }
-  const served = await Promise.all(ended);
-  await agent.close();
-  return {
-    calls: served.length,
-    failed: served.filter((one) => !one).length,
-  };
-}
-
 async function measure(build: string, rate: number): Promise<Row> {
   const nodeFlags = flags.prof === undefined ? [] : [
     "--cpu-prof",
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -166,7 +166,11 @@
         reject(fail(error));
       }
     });
-    sent.on("close", () => received ?? reject(cut()));
+    sent.on("close", () => {
+      if (!received) {
+        reject(cut());
+      }
+    });
     sent.on("response", (answer: IncomingMessage) => {
       received = answer;
       pool.noteProgress(sent);
--- a/src/ingress/exchange_test.ts
+++ b/src/ingress/exchange_test.ts
@@ -2,7 +2,8 @@
 import { createCanceller } from "../core/cancellation.ts";
 import type { Channel } from "../network/channel.ts";
 import { createFakeNetwork } from "../network/fake_network.ts";
-import type { Attempt, Load } from "../network/frames.ts";
+import { fakeAttempt } from "../network/fake_attempt.ts";
+import type { Load } from "../network/frames.ts";
 import { createFakeTimer } from "../time/fake_timer.ts";
 import type { ReceivedAnswer } from "./conversation.ts";
 import { createExchanger } from "./exchange.ts";
@@ -19,28 +20,7 @@
   slowness: 1,
   incarnation: "one",
 };
-const ATTEMPT: Attempt = {
-  kind: "attempt",
-  attempt: { source: "here", order: 1 },
-  incarnation: "one",
-  version: 1,
-  from: "",
-  requestId: "id-1",
-  service: "work",
-  caller: "",
-  rank: 0,
-  elsewhere: false,
-  class: "read",
-  tenant: "default",
-  repeatable: true,
-  timeLeftMs: 1_000,
-  method: "GET",
-  path: "/read/1",
-  headers: [],
-  suspect: false,
-  body: new Uint8Array(),
-  streaming: false,
-};
+const ATTEMPT = fakeAttempt();
 
 /** An exchange whose answer goes on as a stream that says nothing. */
 async function startSilentStream() {
--- a/src/ingress/inquiry_test.ts
+++ b/src/ingress/inquiry_test.ts
@@ -3,8 +3,9 @@
 import { silentLogger } from "../core/logger.ts";
 import { createSupervisor } from "../core/tasks.ts";
 import type { Channel } from "../network/channel.ts";
+import { fakeAttempt } from "../network/fake_attempt.ts";
 import { createFakeNetwork } from "../network/fake_network.ts";
-import type { Attempt, Frame, Load } from "../network/frames.ts";
+import type { Frame, Load } from "../network/frames.ts";
 import { createFakeTimer } from "../time/fake_timer.ts";
 import type { Timer } from "../time/timer.ts";
 import type { ExchangeEnd } from "./conversation.ts";
@@ -22,28 +23,14 @@
   slowness: 1,
   incarnation: "one",
 };
-const ATTEMPT: Attempt = {
-  kind: "attempt",
+const ATTEMPT = fakeAttempt({
   attempt: { source: "ingress", order: 1 },
-  incarnation: "one",
-  version: 1,
   from: "ingress:1",
   requestId: "r1",
-  service: "work",
-  caller: "",
   class: "look",
-  tenant: "default",
-  rank: 0,
-  repeatable: true,
   timeLeftMs: DEADLINE_MS,
-  method: "GET",
   path: "/look/1",
-  headers: [],
-  suspect: false,
-  elsewhere: false,
-  body: new Uint8Array(),
-  streaming: false,
-};
+});
 
 /** A timer that fires up to a millisecond early, as the runtime's does. */
 function roundingDown(timer: Timer): Timer {
--- a/src/network/frame_codec_test.ts
+++ b/src/network/frame_codec_test.ts
@@ -1,29 +1,17 @@
 import { test } from "tap";
+import { fakeAttempt } from "./fake_attempt.ts";
 import { decodeFrame, encodeFrame, LENGTH_BYTES } from "./frame_codec.ts";
-import type { Attempt, Frame } from "./frames.ts";
+import type { Frame } from "./frames.ts";
 
-const ATTEMPT: Attempt = {
-  kind: "attempt",
+const ATTEMPT = fakeAttempt({
   attempt: { source: "a", order: 7 },
-  incarnation: "i",
-  version: 3,
-  from: "10.0.0.1:7380",
-  requestId: "r",
-  service: "work",
-  caller: "",
-  class: "look",
-  tenant: "default",
   rank: 2,
-  repeatable: true,
   timeLeftMs: 199.25,
-  method: "GET",
   path: "/look/ä?b=c",
   headers: [["host", "a"], ["x-latin", "\u00e9"]],
-  suspect: false,
   elsewhere: true,
   body: Buffer.from([0, 255, 123, 34]),
-  streaming: false,
-};
+});
 const LOAD = {
   inFlight: 1,
   allowed: 14,
--- a/tests/guard/endless_bodies_test.ts
+++ b/tests/guard/endless_bodies_test.ts
@@ -8,6 +8,7 @@
 import { httpBackends } from "../../src/guard/http_backend.ts";
 import { type End, runAttempt } from "../../src/guard/run.ts";
 import type { Channel } from "../../src/network/channel.ts";
+import { fakeAttempt } from "../../src/network/fake_attempt.ts";
 import type { Attempt, Frame, Load } from "../../src/network/frames.ts";
 import { createLocalPair } from "../../src/network/local.ts";
 import { createFakeTimer, type FakeTimer } from "../../src/time/fake_timer.ts";
@@ -83,29 +84,12 @@
       });
       const run = runAttempt({
         channel: far,
-        frame: {
-          kind: "attempt",
+        frame: fakeAttempt({
           attempt: { source: "elsewhere", order: requests },
-          incarnation: "one",
-          version: 1,
-          from: "",
-          requestId: "id-1",
-          service: "work",
-          caller: "",
-          rank: 0,
-          elsewhere: false,
-          class: "read",
-          tenant: "default",
-          repeatable: true,
           timeLeftMs: DEADLINE_MS,
-          method: "GET",
-          path: "/read/1",
           headers: [["host", "a"]],
-          suspect: false,
-          body: new Uint8Array(),
-          streaming: false,
           ...change,
-        },
+        }),
         backend,
         instance: "",
         timer,
--- a/tests/scenario/late_frames_test.ts
+++ b/tests/scenario/late_frames_test.ts
@@ -3,6 +3,7 @@
  */
 import { test } from "tap";
 import type { Channel } from "../../src/network/channel.ts";
+import { fakeAttempt } from "../../src/network/fake_attempt.ts";
 import type { Attempt, Frame } from "../../src/network/frames.ts";
 import { type EventLoopLag, noLag } from "../../src/time/event_loop_lag.ts";
 import { startSmallWorld } from "./small_world.ts";
@@ -20,28 +21,18 @@
 
 function attemptFor(world: World): Attempt {
   const { incarnation } = world.vm("vm1").node.guard;
-  return {
-    kind: "attempt",
+  return fakeAttempt({
     attempt: { source: "elsewhere", order: 1 },
     incarnation,
-    version: 1,
-    from: "",
     requestId: "late1",
     service: SERVICE,
-    caller: "",
-    rank: 0,
-    elsewhere: false,
     class: "pay",
-    tenant: "default",
     repeatable: false,
     timeLeftMs: 3_000,
     method: "POST",
     path: "/pay/1",
     headers: [["mustardcross-request-id", "late1"]],
-    suspect: false,
-    body: new Uint8Array(),
-    streaming: false,
-  };
+  });
 }
 
 /** Connects from elsewhere, and collects what is not a sign of life. */
--- a/tests/scenario/signs_test.ts
+++ b/tests/scenario/signs_test.ts
@@ -2,6 +2,7 @@
  * What a sender reads behind the end of its attempt belongs to the next one.
  */
 import { test } from "tap";
+import { fakeAttempt } from "../../src/network/fake_attempt.ts";
 import type { Frame } from "../../src/network/frames.ts";
 import { createLocalPair } from "../../src/network/local.ts";
 import { startSmallWorld } from "./small_world.ts";
@@ -17,28 +18,16 @@
   vm.server.slowness = SLOWNESS;
   const [sender, guardEnd] = createLocalPair("vm1:1");
   void vm.node.guard.serve(guardEnd);
-  await sender.send({
-    kind: "attempt",
-    attempt: { source: "elsewhere", order: 1 },
+  await sender.send(fakeAttempt({
     incarnation: vm.node.guard.incarnation,
-    version: 1,
-    from: "",
-    requestId: "slow1",
     service: SERVICE,
-    caller: "",
-    rank: 0,
-    elsewhere: false,
     class: "pay",
-    tenant: "default",
     repeatable: false,
     timeLeftMs: 60_000,
     method: "POST",
     path: "/pay/1",
     headers: [["mustardcross-request-id", "slow1"]],
-    suspect: false,
-    body: new Uint8Array(),
-    streaming: false,
-  });
+  }));
   // Nothing is read meanwhile, so that the sender of the answer has to wait.
   await world.timer.advance(30_000);
 
