Send nodes the routes that changed, not all of them

Cause: after a change of one route each node fetched the whole route table, 319 KB at 1,400 routes, from control; and a node that heard of a newer version from a peer fetched everything from the peer as well, over links of 8.4 Mbit/s and within a timeout of 0.5 to 1 s.

Control and nodes now keep a revision for each route (key_revisions.ts) and send what was set and removed since the revision that a reader has. A reader whose revision is older than the removals that are kept gets the table, and so does a node of an earlier version.

Test: tests/control/many_routes_test.ts, red before (231,083 of 231,083 bytes sent for one route of 1,400).

--- a/src/control/configuration.ts
+++ b/src/control/configuration.ts
@@ -2,11 +2,13 @@
  * The accepted configuration, and its source document.
  * @module
  */
+import { isDeepStrictEqual } from "node:util";
 import type { Site } from "../settings/site.ts";
 import type { Action, Difference } from "./commands.ts";
 import { findDifferences } from "./differences.ts";
 import type { Revisions } from "./revisions.ts";
-import { buildRouteTable } from "./route_table.ts";
+import type { KeyChanges } from "./key_revisions.ts";
+import { listServiceRoutes } from "./route_table.ts";
 
 /** A configuration as stored in a snapshot. */
 export interface StoredConfiguration {
@@ -29,6 +31,22 @@
   stored(): StoredConfiguration;
 }
 
+function hasSameServiceRoutes(before: Site, after: Site): boolean {
+  return isDeepStrictEqual(listServiceRoutes(before), listServiceRoutes(after));
+}
+
+/** Returns the keys whose values differ between two records. */
+function findKeyChanges(
+  before: Record<string, unknown>,
+  after: Record<string, unknown>,
+): KeyChanges {
+  return {
+    set: Object.keys(after)
+      .filter((key) => !isDeepStrictEqual(before[key], after[key])),
+    removed: Object.keys(before).filter((key) => !Object.hasOwn(after, key)),
+  };
+}
+
 /** Creates a configuration from that of a snapshot. */
 export function createConfiguration(
   stored: StoredConfiguration,
@@ -51,9 +69,13 @@
   }
 
   function touchRoutes(newSite: Site, index: number): void {
-    const before = site ? buildRouteTable(site) : undefined;
-    if (findDifferences(before, buildRouteTable(newSite)).length > 0) {
-      revisions.touchRoutes(index);
+    if (!site || !hasSameServiceRoutes(site, newSite)) {
+      revisions.touchRouteTable(index);
+      return;
+    }
+    const changes = findKeyChanges(site.routes, newSite.routes);
+    if (changes.set.length + changes.removed.length > 0) {
+      revisions.touchRoutes(changes, index);
     }
   }
 
--- a/src/control/node_methods.ts
+++ b/src/control/node_methods.ts
@@ -15,7 +15,7 @@
   memberSchema,
   registerResultSchema,
 } from "./commands.ts";
-import { viewSchema } from "./view.ts";
+import { knownRevisionsSchema, viewSchema } from "./view.ts";
 
 /** A reply that only the leader can give. */
 function leaderReply<T extends z.ZodType>(value: T) {
@@ -56,11 +56,7 @@
 export const syncMethod = defineMethod("sync", {
   request: z.object({
     node: z.string(),
-    known: z.object({
-      global: z.number(),
-      routes: z.number(),
-      services: z.record(z.string(), z.number()),
-    }),
+    known: knownRevisionsSchema,
     confirm: z.boolean(),
     renewal: renewalSchema.optional(),
     events: z.array(eventSchema),
--- a/src/control/revisions.ts
+++ b/src/control/revisions.ts
@@ -3,6 +3,12 @@
  * @module
  */
 
+import {
+  createKeyRevisions,
+  type KeyChanges,
+  type StoredKeyRevisions,
+} from "./key_revisions.ts";
+
 /** Revisions as stored in a snapshot. */
 export interface StoredRevisions {
   /** Log index of the last entry that changed any part. */
@@ -10,6 +16,8 @@
   globalRevision: number;
   routesRevision: number;
   serviceRevisions: [string, number][];
+  /** Revisions of the site's routes; snapshots of earlier versions have none. */
+  routeKeys?: StoredKeyRevisions;
 }
 
 /** Log index of the last entry that changed each part, 0 for none. */
@@ -20,7 +28,15 @@
   readonly routes: number;
   service(name: string): number;
   touchGlobal(index: number): void;
-  touchRoutes(index: number): void;
+  /**
+   * Returns the site's routes that changed after a revision, or `undefined` if a
+   * node that has the routes as of then needs the whole table.
+   */
+  routeChangesSince(revision: number): KeyChanges | undefined;
+  /** Notes site routes that were set and removed. */
+  touchRoutes(changes: KeyChanges, index: number): void;
+  /** Notes a change that only the whole route table expresses. */
+  touchRouteTable(index: number): void;
   touchService(name: string, index: number): void;
   /** Returns all revisions, for a snapshot. */
   stored(): StoredRevisions;
@@ -32,6 +48,9 @@
   let latest = stored.revision;
   let global = stored.globalRevision;
   let routes = stored.routesRevision;
+  const routeKeys = createKeyRevisions(
+    stored.routeKeys ?? { floor: routes, set: [], removed: [] },
+  );
 
   return {
     get latest() {
@@ -47,7 +66,14 @@
     touchGlobal(index) {
       latest = global = index;
     },
-    touchRoutes(index) {
+    routeChangesSince: routeKeys.changedSince,
+    touchRoutes({ set, removed }, index) {
+      set.forEach((name) => routeKeys.set(name, index));
+      removed.forEach((name) => routeKeys.remove(name, index));
+      latest = routes = index;
+    },
+    touchRouteTable(index) {
+      routeKeys.restart(index);
       latest = routes = index;
     },
     touchService(name, index) {
@@ -59,6 +85,7 @@
       globalRevision: global,
       routesRevision: routes,
       serviceRevisions: [...services],
+      routeKeys: routeKeys.stored(),
     }),
   };
 }
--- a/src/control/route_table.ts
+++ b/src/control/route_table.ts
@@ -14,7 +14,7 @@
 }
 
 /** Returns the routes of all services of a site. */
-function listServiceRoutes(site: Site): RouteTable["routes"] {
+export function listServiceRoutes(site: Site): RouteTable["routes"] {
   return Object.entries(site.services).flatMap(([service, settings]) =>
     Object.entries(settings.routes).map(([name, route]) => ({
       service,
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -27,12 +27,10 @@
 import type { AppliedEntry, StateMachine } from "./machine.ts";
 import { createMemberRegistry, type StoredMember } from "./members.ts";
 import { createRevisions, type StoredRevisions } from "./revisions.ts";
-import type { View } from "./view.ts";
-import { type KnownRevisions, viewSince } from "./view_since.ts";
+import type { KnownRevisions, View } from "./view.ts";
+import { viewSince } from "./view_since.ts";
 import { createWithdrawals, type StoredWithdrawals } from "./withdrawals.ts";
 
-export type { KnownRevisions } from "./view_since.ts";
-
 /** The state as stored in a snapshot. */
 interface StoredState
   extends
--- a/src/control/view.ts
+++ b/src/control/view.ts
@@ -42,6 +42,19 @@
 /** All routes of the services and of the site. */
 export type RouteTable = z.infer<typeof routeTableSchema>;
 
+/** Changes of the site's routes since a revision of the route table. */
+export const routeChangesSchema = z.object({
+  /** Revision of the table to which the changes apply. */
+  since: z.number(),
+  revision: z.number(),
+  /** Routes that are new or changed. */
+  set: routeTableSchema.shape.prefixes,
+  /** Names of removed routes. */
+  removed: z.array(z.string()),
+});
+/** Changes of the site's routes since a revision of the route table. */
+export type RouteChanges = z.infer<typeof routeChangesSchema>;
+
 /** The part of the view that subscribers to one service hold. */
 export const serviceViewSchema = z.object({
   service: z.string(),
@@ -52,10 +65,25 @@
 /** The view of one service; without `settings` the service was removed. */
 export type ServiceView = z.infer<typeof serviceViewSchema>;
 
-/** Parts of a view in one message. */
+/** Revisions of the view that a node already has. */
+export const knownRevisionsSchema = z.object({
+  /** Revision of the global part, 0 for none. */
+  global: z.number(),
+  /** Revision of the route table, 0 for none. */
+  routes: z.number(),
+  /** Revision of each subscribed service, 0 for none. */
+  services: z.record(z.string(), z.number()),
+  /** Whether the node can apply changes of the route table that it has. */
+  takesRouteChanges: z.boolean().optional(),
+});
+/** Revisions of the view that a node already has. */
+export type KnownRevisions = z.infer<typeof knownRevisionsSchema>;
+
+/** Parts of a view in one message; a table or its changes, never both. */
 export const viewSchema = z.object({
   global: globalViewSchema.optional(),
   routeTable: routeTableSchema.optional(),
+  routeChanges: routeChangesSchema.optional(),
   services: z.array(serviceViewSchema),
 });
 /** Parts of a view in one message. */
--- a/src/control/view_since.ts
+++ b/src/control/view_since.ts
@@ -7,19 +7,9 @@
 import type { MemberRegistry } from "./members.ts";
 import type { Revisions } from "./revisions.ts";
 import { buildRouteTable } from "./route_table.ts";
-import type { GlobalView, ServiceView, View } from "./view.ts";
+import type { GlobalView, KnownRevisions, ServiceView, View } from "./view.ts";
 import type { Withdrawals } from "./withdrawals.ts";
 
-/** Revisions of the view that a node already has. */
-export interface KnownRevisions {
-  /** Revision of the global part, 0 for none. */
-  global: number;
-  /** Revision of the route table, 0 for none. */
-  routes: number;
-  /** Revision of each subscribed service, 0 for none. */
-  services: Record<string, number>;
-}
-
 /** Components of the state that a view is built from. */
 export interface ViewSources {
   site: Site | undefined;
@@ -54,6 +44,27 @@
   };
 }
 
+/** Returns the newer routes: only those that changed, if a node can take that. */
+function buildRoutes(
+  site: Site,
+  { known, revisions }: { known: KnownRevisions; revisions: Revisions },
+): Pick<View, "routeTable" | "routeChanges"> {
+  const revision = revisions.routes;
+  const changed = known.takesRouteChanges && known.routes > 0
+    ? revisions.routeChangesSince(known.routes)
+    : undefined;
+  return changed
+    ? {
+      routeChanges: {
+        since: known.routes,
+        revision,
+        set: changed.set.map((name) => ({ name, ...site.routes[name] })),
+        removed: changed.removed,
+      },
+    }
+    : { routeTable: { revision, ...buildRouteTable(site) } };
+}
+
 /** Returns the parts of the view that are newer than a node's revisions. */
 export function viewSince(known: KnownRevisions, sources: ViewSources): View {
   const { site, revisions } = sources;
@@ -62,7 +73,7 @@
     view.global = buildGlobalView(site, sources);
   }
   if (site && revisions.routes > known.routes) {
-    view.routeTable = { revision: revisions.routes, ...buildRouteTable(site) };
+    Object.assign(view, buildRoutes(site, { known, revisions }));
   }
   view.services = Object.entries(known.services)
     .filter(([service, revision]) => revisions.service(service) > revision)
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -24,6 +24,7 @@
   Refused,
 } from "../network/frames.ts";
 import type { Directory } from "../node/directory.ts";
+import { answerViewRequest } from "../node/view_request.ts";
 import type { Service } from "../settings/site.ts";
 import {
   type Admission,
@@ -707,7 +708,7 @@
       case "suspicion":
         return crashes.applySuspicion(frame);
       case "view_request": {
-        const view = directory.export(frame.services);
+        const view = answerViewRequest(directory, frame);
         return await channel.send({ kind: "view", view });
       }
       case "data":
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -158,6 +158,17 @@
  */
 export type FenceState = z.infer<typeof fenceStateSchema>;
 
+const viewRequestSchema = z.object({
+  kind: z.literal("view_request"),
+  services: z.array(z.string()),
+  known: z.unknown().optional(),
+});
+/**
+ * Asks a peer for its view of services. `known` holds the revisions that the
+ * sender has, and only newer parts are sent; without it, everything is.
+ */
+export type ViewRequest = z.infer<typeof viewRequestSchema>;
+
 /** Any frame on the request path. */
 export const frameSchema = z.discriminatedUnion("kind", [
   attemptSchema,
@@ -187,7 +198,7 @@
     crash: z.string(),
     cleared: z.boolean(),
   }),
-  z.object({ kind: z.literal("view_request"), services: z.array(z.string()) }),
+  viewRequestSchema,
   z.object({ kind: z.literal("view"), view: z.unknown() }),
 ]);
 /** Any frame on the request path. */
--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -3,40 +3,21 @@
  * peer. No part of it is ever replaced by a lower revision.
  * @module
  */
-import findMyWay from "find-my-way";
-import type { KnownRevisions } from "../control/state.ts";
 import type { Member } from "../control/commands.ts";
 import type {
   GlobalView,
-  RouteTable,
+  KnownRevisions,
   ServiceView,
   View,
 } from "../control/view.ts";
 import type { RoutePolicy, Service } from "../settings/site.ts";
 import {
-  createPrefixTable,
-  pickTarget,
-  type PrefixTable,
-} from "./prefix_table.ts";
+  createRouteDirectory,
+  type RouteMatch,
+  type RouteQuery,
+} from "./route_directory.ts";
 
-/** The route that matches a request. */
-export interface RouteMatch {
-  service: string;
-  name: string;
-  /** Settings of a route that the site defines, not the service. */
-  policy?: RoutePolicy;
-}
-
-/** The parts of a request that determine its route. */
-export interface RouteQuery {
-  method: string;
-  /** Host of the request, or an empty string if it has none. */
-  host: string;
-  /** Path without the query string. */
-  path: string;
-  /** Returns a random number from 0 to 1 for traffic splits. */
-  randomFraction: () => number;
-}
+export type { RouteMatch } from "./route_directory.ts";
 
 /** The parts of a directory that changed. */
 export interface DirectoryChange {
@@ -58,8 +39,8 @@
   subscribe(service: string): void;
   /** Applies the parts that are newer and ignores the others. */
   apply(view: View): DirectoryChange;
-  /** Returns the global view, the routes and the named services, for a peer. */
-  export(services: readonly string[]): View;
+  /** Returns the parts that are newer than a peer's revisions. */
+  newerThan(known: KnownRevisions): View;
   /** Returns the view of a subscribed service. */
   service(name: string): ServiceView | undefined;
   /** Number of backend servers at the site; 0 while unknown. */
@@ -82,26 +63,20 @@
   onChange(listener: (change: DirectoryChange) => void): void;
 }
 
-type Router = ReturnType<typeof findMyWay>;
-
-function createRouter(table: RouteTable): Router {
-  const router = findMyWay({ ignoreTrailingSlash: true });
-  for (const { service, name, method, path } of table.routes) {
-    const found: RouteMatch = { service, name };
-    router.on(method as "GET", path, () => {}, found);
-  }
-  return router;
+function isNewer(
+  part: { revision: number } | undefined,
+  revision: number,
+): boolean {
+  return part !== undefined && part.revision > revision;
 }
 
 /** Creates an empty directory. */
 export function createDirectory(): Directory {
   let global: GlobalView | undefined;
-  let routeTable: RouteTable | undefined;
-  let router: Router | undefined;
-  let prefixes: PrefixTable | undefined;
   let fleetSize = 0;
   let domainsOut = new Set<string>();
   let serversOut = new Set<string>();
+  const routes = createRouteDirectory();
   const services = new Map<string, ServiceView>();
   const subscriptions = new Set<string>();
   const listeners: ((change: DirectoryChange) => void)[] = [];
@@ -116,14 +91,10 @@
     return true;
   }
 
-  function applyRoutes(next: RouteTable | undefined): boolean {
-    if (!next || next.revision <= (routeTable?.revision ?? 0)) {
-      return false;
-    }
-    routeTable = next;
-    router = createRouter(next);
-    prefixes = createPrefixTable(next.prefixes);
-    return true;
+  function applyRoutes({ routeTable, routeChanges }: View): boolean {
+    const replaced = routeTable !== undefined && routes.replace(routeTable);
+    const changed = routeChanges !== undefined && routes.change(routeChanges);
+    return replaced || changed;
   }
 
   function applyService(next: ServiceView): boolean {
@@ -145,20 +116,21 @@
     get known() {
       return {
         global: global?.revision ?? 0,
-        routes: routeTable?.revision ?? 0,
+        routes: routes.revision,
         services: Object.fromEntries(
           [...subscriptions].map((name) => [
             name,
             services.get(name)?.revision ?? 0,
           ]),
         ),
+        takesRouteChanges: true,
       };
     },
     subscribe: (service) => subscriptions.add(service),
     apply(view) {
-      const routes = applyRoutes(view.routeTable);
+      const routesChanged = applyRoutes(view);
       const change: DirectoryChange = {
-        global: applyGlobal(view.global) || routes,
+        global: applyGlobal(view.global) || routesChanged,
         services: view.services.filter(applyService)
           .map((service) => service.service),
       };
@@ -167,10 +139,13 @@
       }
       return change;
     },
-    export: (names) => ({
-      global,
-      routeTable,
-      services: names.flatMap((name) => services.get(name) ?? []),
+    newerThan: (known) => ({
+      global: isNewer(global, known.global) ? global : undefined,
+      ...routes.newerThan(known.routes, known.takesRouteChanges ?? false),
+      services: Object.entries(known.services).flatMap(([name, revision]) => {
+        const service = services.get(name);
+        return service && isNewer(service, revision) ? [service] : [];
+      }),
     }),
     service: (name) => services.get(name),
     get fleetSize() {
@@ -179,15 +154,7 @@
     setFleetSize(size) {
       fleetSize = size;
     },
-    route({ method, host, path, randomFraction }) {
-      const prefixRoute = prefixes?.find(host, path);
-      if (prefixRoute) {
-        const { service } = pickTarget(prefixRoute.targets, randomFraction);
-        return { service, name: prefixRoute.name, policy: prefixRoute };
-      }
-      const found = router?.find(method as "GET", path);
-      return found?.store as RouteMatch | undefined;
-    },
+    route: routes.find,
     routeSettings({ service, name, policy }) {
       const settings = services.get(service)?.settings;
       const route = policy ?? settings?.routes[name];
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -20,6 +20,7 @@
 import { type Timer, withTimeout } from "../time/timer.ts";
 import type { ControlClient } from "./control_client.ts";
 import type { Directory } from "./directory.ts";
+import { createViewRequest } from "./view_request.ts";
 
 /** Keeps a directory up to date. */
 export interface Sync {
@@ -155,10 +156,9 @@
   }
 
   async function fetchViewFromPeer(peer: string): Promise<void> {
-    const services = Object.keys(directory.known.services);
     const channel = await network.connect(peer, PEER_SYNC_TIMEOUT_MS);
     try {
-      await channel.send({ kind: "view_request", services });
+      await channel.send(createViewRequest(directory.known));
       const frame = await withTimeout(timer, channel.receive(), {
         step: "sync.peer",
         peer,
--- /dev/null
+++ b/tests/control/many_routes_test.ts
@@ -0,0 +1,134 @@
+/**
+ * Changes of a configuration with many routes. A change of one route that costs
+ * what all routes cost stalls the leader, fills the nodes' links, and is in force
+ * too late.
+ */
+import { Packr } from "msgpackr";
+import { test } from "tap";
+import { createControlState } from "../../src/control/state.ts";
+import { prepareHashes } from "../../src/core/hash.ts";
+import { fakeChange } from "../../src/control/fake_change.ts";
+import { createDirectory } from "../../src/node/directory.ts";
+import { type Site, siteSchema } from "../../src/settings/site.ts";
+
+await prepareHashes();
+
+const ROUTES = 1_400;
+/** Largest share of the whole that a change of one route may send. */
+const CHANGE_SHARE = 0.02;
+/** A node that has received revision 1. */
+const KNOWN = {
+  global: 1,
+  routes: 1,
+  services: {},
+  takesRouteChanges: true,
+};
+const UNKNOWN = { global: 0, routes: 0, services: {} };
+
+const packr = new Packr({ useRecords: false });
+
+function createRoute(number: number, deadlineMs: number) {
+  return {
+    class: `r-${number}`,
+    repeatable: true,
+    deadline_ms: deadlineMs,
+    host: "shop.example",
+    prefix: `/part-${number}/`,
+    targets: [{ service: "work" }],
+  };
+}
+
+/** Returns a site in which one route has another deadline. */
+function createSite(deadlineMs: number): Site {
+  return siteSchema.parse({
+    name: "lab",
+    domains: ["east"],
+    services: { work: { team: "work" } },
+    routes: Object.fromEntries(
+      Array.from({ length: ROUTES }, (_, number) => [
+        `r-${number}`,
+        createRoute(number, number === 7 ? deadlineMs : 800),
+      ]),
+    ),
+  });
+}
+
+function createConfiguredState(sites: Site[]) {
+  const state = createControlState();
+  sites.forEach((site, index) =>
+    state.apply({
+      index: index + 1,
+      logTime: index,
+      command: fakeChange({
+        changeId: `change${index}`,
+        action: { kind: "configure", site },
+      }),
+    })
+  );
+  return state;
+}
+
+function findDeadline(
+  directory: ReturnType<typeof createDirectory>,
+  path: string,
+): number | undefined {
+  return directory.route({
+    method: "GET",
+    host: "shop.example",
+    path,
+    randomFraction: () => 0,
+  })?.policy?.deadline_ms;
+}
+
+test("a change of one route among many is sent to a node without the others", (t) => {
+  const state = createConfiguredState([createSite(800), createSite(900)]);
+  const whole = packr.pack(state.viewSince(UNKNOWN)).length;
+  const change = packr.pack(state.viewSince(KNOWN)).length;
+  t.ok(change < whole * CHANGE_SHARE, `${change} of ${whole} bytes`);
+  t.end();
+});
+
+test("a node that applies the changes of routes serves what is in force", (t) => {
+  const { "r-3": _removed, ...routes } = createSite(900).routes;
+  const before = createConfiguredState([createSite(800)]);
+  const after = createConfiguredState([
+    createSite(800),
+    { ...createSite(900), routes },
+  ]);
+  const directory = createDirectory();
+  directory.apply(before.viewSince(directory.known));
+  directory.apply(after.viewSince(directory.known));
+  t.equal(directory.known.routes, 2);
+  t.equal(findDeadline(directory, "/part-7/x"), 900, "changed");
+  t.equal(findDeadline(directory, "/part-3/x"), undefined, "removed");
+  t.equal(findDeadline(directory, "/part-8/x"), 800, "unchanged");
+
+  const peer = createDirectory();
+  peer.apply(before.viewSince(peer.known));
+  const fromPeer = directory.newerThan(peer.known);
+  t.equal(fromPeer.routeTable, undefined, "a peer gets only the changes");
+  peer.apply(fromPeer);
+  t.equal(findDeadline(peer, "/part-7/x"), 900);
+  t.equal(findDeadline(peer, "/part-3/x"), undefined);
+  t.end();
+});
+
+test("changes that begin after a node's routes are not applied", (t) => {
+  const directory = createDirectory();
+  directory.apply(createConfiguredState([createSite(800)]).viewSince(UNKNOWN));
+  directory.apply({
+    services: [],
+    routeChanges: { since: 4, revision: 5, set: [], removed: ["r-7"] },
+  });
+  t.equal(directory.known.routes, 1);
+  t.equal(findDeadline(directory, "/part-7/x"), 800);
+  t.end();
+});
+
+test("a node that cannot apply changes gets the whole table", (t) => {
+  const state = createConfiguredState([createSite(800), createSite(900)]);
+  const view = state.viewSince({ ...KNOWN, takesRouteChanges: undefined });
+  t.equal(view.routeTable?.prefixes.length, ROUTES);
+  t.equal(view.routeChanges, undefined);
+  t.end();
+});
