Log the parts of a configuration that a change modifies

Cause: each entry of control's log held the whole site and its whole source, 708 KB at 1,400 routes. The leader checked, packed and sent it to each follower, and each replica checked it again, compared it with the site before and wrote it to disk. On 0.4 of a core that is longer than an election timeout.

A replica that has the configuration on which a change is based now submits an amendment (amendments.ts): the services, routes and limits that differ, and edits of the source by line. It names the digest of its base, so that it never applies to another configuration. A resend as a whole configuration has the same digest and gets the same result. Replicas share the parts that did not change, and compare only the others.

--- a/src/control/change_results.ts
+++ b/src/control/change_results.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { hashText } from "../core/hash.ts";
+import { hashAction } from "./amendments.ts";
 import type { Change, ChangeResult } from "./commands.ts";
 
 /** Number of results kept for retries with the same change id. */
@@ -38,7 +39,7 @@
     change.against,
     change.numbering,
     change.force,
-    change.action,
+    hashAction(change.action),
   ]));
 }
 
--- a/src/control/change_rules.ts
+++ b/src/control/change_rules.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { Site } from "../settings/site.ts";
-import type { Action, Change, Member } from "./commands.ts";
+import type { Action, Member } from "./commands.ts";
 import { findDifferences } from "./differences.ts";
+import type { WholeChange } from "./history.ts";
 
 /** State that a change is validated against. */
 export interface ChangeContext {
@@ -91,7 +92,7 @@
 }
 
 function checkScope(
-  change: Change,
+  change: WholeChange,
   context: ChangeContext,
 ): RuleViolation | undefined {
   const { teams, action } = change;
@@ -163,7 +164,7 @@
 }
 
 function checkNumber(
-  { numbering }: Change,
+  { numbering }: WholeChange,
   { number }: ChangeContext,
 ): RuleViolation | undefined {
   return numbering && numbering.to <= number
@@ -176,7 +177,7 @@
 
 /** Returns the first violation of a change, if any. */
 export function findViolation(
-  change: Change,
+  change: WholeChange,
   context: ChangeContext,
 ): RuleViolation | undefined {
   const { action, force } = change;
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -5,6 +5,7 @@
 import { z } from "zod";
 import { outcomeSchema } from "../network/frames.ts";
 import { siteSchema } from "../settings/site.ts";
+import { amendmentSchema } from "./amendments.ts";
 
 /** The action of an operator's change. */
 export const actionSchema = z.discriminatedUnion("kind", [
@@ -24,6 +25,13 @@
  */
 export type Action = z.infer<typeof actionSchema>;
 
+const changeActionSchema = z.discriminatedUnion("kind", [
+  ...actionSchema.options,
+  amendmentSchema,
+]);
+/** The action of a change as control's log holds it. */
+export type ChangeAction = z.infer<typeof changeActionSchema>;
+
 const numberingSchema = z.strictObject({
   after: z.number().int().min(0),
   to: z.number().int().min(0),
@@ -45,7 +53,7 @@
   numbering: numberingSchema.optional(),
   force: z.boolean(),
   wallTime: z.number(),
-  action: actionSchema,
+  action: changeActionSchema,
 });
 /**
  * A change made by an operator. Without `teams` it may affect any team; without
--- a/src/control/configuration.ts
+++ b/src/control/configuration.ts
@@ -4,10 +4,14 @@
  */
 import { isDeepStrictEqual } from "node:util";
 import type { Site } from "../settings/site.ts";
-import type { Action, Difference } from "./commands.ts";
+import {
+  type AmendableConfiguration,
+  type ConfigureAction,
+  findKeyChanges,
+} from "./amendments.ts";
+import type { Difference } from "./commands.ts";
 import { findDifferences } from "./differences.ts";
 import type { Revisions } from "./revisions.ts";
-import type { KeyChanges } from "./key_revisions.ts";
 import { listServiceRoutes } from "./route_table.ts";
 
 /** A configuration as stored in a snapshot. */
@@ -16,16 +20,20 @@
   document: string;
   /** The accepted site; absent until one is accepted. */
   site?: Site;
+  /** Hash of the action that made it; snapshots of earlier versions have none. */
+  digest?: string;
 }
 
 /** The accepted configuration. */
 export interface Configuration {
   readonly document: string;
   readonly site: Site | undefined;
+  /** The configuration as amendments need it, once there is one with a digest. */
+  readonly amendable: AmendableConfiguration | undefined;
   /** Replaces the site, and returns the differences from the previous one. */
   configure(
-    action: Action & { kind: "configure" },
-    index: number,
+    action: ConfigureAction,
+    source: { index: number; digest: string },
   ): Difference[];
   /** Returns the configuration, for a snapshot. */
   stored(): StoredConfiguration;
@@ -35,24 +43,12 @@
   return isDeepStrictEqual(listServiceRoutes(before), listServiceRoutes(after));
 }
 
-/** Returns the keys whose values differ between two records. */
-function findKeyChanges(
-  before: Record<string, unknown>,
-  after: Record<string, unknown>,
-): KeyChanges {
-  return {
-    set: Object.keys(after)
-      .filter((key) => !isDeepStrictEqual(before[key], after[key])),
-    removed: Object.keys(before).filter((key) => !Object.hasOwn(after, key)),
-  };
-}
-
 /** Creates a configuration from that of a snapshot. */
 export function createConfiguration(
   stored: StoredConfiguration,
   revisions: Revisions,
 ): Configuration {
-  let { document, site } = stored;
+  let { document, site, digest } = stored;
 
   function touchServices(newSite: Site, index: number): void {
     const before = site?.services ?? {};
@@ -86,15 +82,22 @@
     get site() {
       return site;
     },
-    configure(action, index) {
+    get amendable() {
+      return site && digest !== undefined
+        ? { site, document, digest }
+        : undefined;
+    },
+    configure(action, source) {
+      const { index } = source;
       const newSite = action.site;
       const differences = findDifferences(site ?? {}, newSite);
       touchServices(newSite, index);
       touchRoutes(newSite, index);
       document = action.document ?? "";
       site = newSite;
+      digest = source.digest;
       return differences;
     },
-    stored: () => site ? { document, site } : { document },
+    stored: () => site ? { document, site, digest } : { document },
   };
 }
--- a/src/control/differences.ts
+++ b/src/control/differences.ts
@@ -21,6 +21,9 @@
   const result: Difference[] = [];
 
   function compare(oldValue: unknown, newValue: unknown, key: string): void {
+    if (oldValue === newValue) {
+      return;
+    }
     if (isRecord(oldValue) && isRecord(newValue)) {
       const names = new Set([
         ...Object.keys(oldValue),
--- a/src/control/fake_change.ts
+++ b/src/control/fake_change.ts
@@ -2,10 +2,10 @@
  * An operator's change for tests.
  * @module
  */
-import type { Change } from "./commands.ts";
+import type { WholeChange } from "./history.ts";
 
 /** Returns a withdrawal of domain east, with some fields replaced. */
-export function fakeChange(fields: Partial<Change> = {}): Change {
+export function fakeChange(fields: Partial<WholeChange> = {}): WholeChange {
   return {
     kind: "change",
     changeId: "one",
--- a/src/control/history.ts
+++ b/src/control/history.ts
@@ -22,6 +22,9 @@
   history: AcceptedChange[];
 }
 
+/** A change whose action is complete: no amendment. */
+export type WholeChange = Change & { action: Action };
+
 /** Accepted changes, and the version that results from them. */
 export interface History {
   readonly version: number;
@@ -30,8 +33,10 @@
   readonly changes: AcceptedChange[];
   /** Returns a conflict if a change is based on another version or number. */
   conflict(change: Change): ChangeResult | undefined;
+  /** Returns the result of a change that is based on another configuration. */
+  describeConflict(change: Change): ChangeResult;
   /** Records a change that was applied, as a new version. */
-  accept(change: Change, differences: Difference[]): ChangeResult;
+  accept(change: WholeChange, differences: Difference[]): ChangeResult;
 }
 
 function findTarget(action: Action): string {
@@ -57,6 +62,16 @@
       (numbering !== undefined && numbering.after !== number);
   }
 
+  function describeConflict({ against }: Change): ChangeResult {
+    return {
+      kind: "conflict",
+      version,
+      winner: against === undefined
+        ? undefined
+        : changes.find((entry) => entry.version === against + 1),
+    };
+  }
+
   return {
     get version() {
       return version;
@@ -65,16 +80,9 @@
       return number;
     },
     changes,
-    conflict(change) {
-      const { against } = change;
-      return !isStale(change) ? undefined : {
-        kind: "conflict",
-        version,
-        winner: against === undefined
-          ? undefined
-          : changes.find((entry) => entry.version === against + 1),
-      };
-    },
+    conflict: (change) =>
+      isStale(change) ? describeConflict(change) : undefined,
+    describeConflict,
     accept(change, differences) {
       version++;
       number = change.numbering?.to ?? number;
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -6,6 +6,11 @@
  */
 import { Packr } from "msgpackr";
 import type { Site } from "../settings/site.ts";
+import {
+  type AmendableConfiguration,
+  applyAmendment,
+  hashAction,
+} from "./amendments.ts";
 import { findViolation } from "./change_rules.ts";
 import { type ChangeRecord, createChangeResults } from "./change_results.ts";
 import { createClaimRegistry, type StoredClaim } from "./claims.ts";
@@ -23,7 +28,11 @@
   createConfiguration,
   type StoredConfiguration,
 } from "./configuration.ts";
-import { createHistory, type StoredHistory } from "./history.ts";
+import {
+  createHistory,
+  type StoredHistory,
+  type WholeChange,
+} from "./history.ts";
 import type { AppliedEntry, StateMachine } from "./machine.ts";
 import { createMemberRegistry, type StoredMember } from "./members.ts";
 import { createRevisions, type StoredRevisions } from "./revisions.ts";
@@ -57,6 +66,8 @@
   readonly revision: number;
   /** The accepted configuration. */
   readonly site: Site | undefined;
+  /** The configuration as amendments need it, if they can be made for it. */
+  readonly amendable: AmendableConfiguration | undefined;
   /** Failure domains that are out of service. */
   readonly domainsOut: ReadonlySet<string>;
   /** Backend servers that are out of service. */
@@ -138,7 +149,22 @@
     };
   }
 
-  function findRefusal(change: Change): ChangeResult | undefined {
+  /**
+   * Returns a change with the whole action that its amendment stands for, unless
+   * the amendment was made for another configuration.
+   */
+  function completeChange(change: Change): WholeChange | undefined {
+    const { action } = change;
+    if (action.kind !== "amend") {
+      return { ...change, action };
+    }
+    const { amendable } = components.configuration;
+    return amendable?.digest === action.base
+      ? { ...change, action: applyAmendment(action, amendable) }
+      : undefined;
+  }
+
+  function findRefusal(change: WholeChange): ChangeResult | undefined {
     const { configuration, members, withdrawals, history } = components;
     const violation = findViolation(change, {
       site: configuration.site,
@@ -151,15 +177,21 @@
       { kind: "refused", version: history.version, ...violation };
   }
 
-  function performAction(action: Action, index: number): Difference[] {
+  function performAction(
+    action: Action,
+    source: { index: number; digest: string },
+  ): Difference[] {
     return action.kind === "configure"
-      ? components.configuration.configure(action, index)
+      ? components.configuration.configure(action, source)
       : components.withdrawals.perform(action);
   }
 
-  function accept(change: Change, index: number): ChangeResult {
-    const differences = performAction(change.action, index);
-    components.revisions.touchGlobal(index);
+  function accept(
+    change: WholeChange,
+    source: { index: number; digest: string },
+  ): ChangeResult {
+    const differences = performAction(change.action, source);
+    components.revisions.touchGlobal(source.index);
     return components.history.accept(change, differences);
   }
 
@@ -167,9 +199,17 @@
     const { results, history } = components;
     return results.decideOnce(change, {
       version: history.version,
-      decide: () =>
-        history.conflict(change) ?? findRefusal(change) ??
-          accept(change, index),
+      decide() {
+        const conflict = history.conflict(change);
+        if (conflict) {
+          return conflict;
+        }
+        const whole = completeChange(change);
+        const digest = hashAction(change.action);
+        return whole
+          ? findRefusal(whole) ?? accept(whole, { index, digest })
+          : history.describeConflict(change);
+      },
     });
   }
 
@@ -215,6 +255,9 @@
     get site() {
       return components.configuration.site;
     },
+    get amendable() {
+      return components.configuration.amendable;
+    },
     get domainsOut() {
       return components.withdrawals.domains;
     },
--- a/tests/control/many_routes_test.ts
+++ b/tests/control/many_routes_test.ts
@@ -5,11 +5,15 @@
  */
 import { Packr } from "msgpackr";
 import { test } from "tap";
+import type { Change } from "../../src/control/commands.ts";
+import type { Control } from "../../src/control/control.ts";
 import { createControlState } from "../../src/control/state.ts";
+import { submitChange } from "../../src/control/submission.ts";
 import { prepareHashes } from "../../src/core/hash.ts";
 import { fakeChange } from "../../src/control/fake_change.ts";
 import { createDirectory } from "../../src/node/directory.ts";
 import { type Site, siteSchema } from "../../src/settings/site.ts";
+import { createFakeTimer } from "../../src/time/fake_timer.ts";
 
 await prepareHashes();
 
@@ -88,6 +92,83 @@
   t.end();
 });
 
+/** Submits a change to a replica; returns it as it is sent to the leader. */
+async function submit(
+  state: ReturnType<typeof createControlState>,
+  change: Parameters<typeof submitChange>[0],
+): Promise<Change> {
+  const sent: Change[] = [];
+  const control = {
+    state,
+    change(next: Change) {
+      sent.push(next);
+      return Promise.resolve({
+        kind: "done",
+        value: { kind: "accepted", version: 0 },
+      });
+    },
+  } as unknown as Control;
+  await submitChange(change, {
+    control,
+    timer: createFakeTimer(),
+    timeoutMs: 100,
+  });
+  return sent[0];
+}
+
+function createNumberedChange(site: Site, after: number) {
+  const document = Object.entries(site.routes)
+    .map((route) => JSON.stringify(route)).join("\n");
+  const action = { kind: "configure" as const, site, document };
+  const numbering = { after, to: after + 1 };
+  return fakeChange({ changeId: `number${after}`, action, numbering });
+}
+
+test("a change of one route among many puts only that route into the log", async (t) => {
+  const first = createNumberedChange(createSite(800), 0);
+  const second = createNumberedChange(createSite(900), 1);
+  const [state, replica] = [createControlState(), createControlState()];
+  state.apply({ index: 1, logTime: 0, command: first });
+  replica.apply({ index: 1, logTime: 0, command: first });
+  const sent = await submit(state, second);
+  const bytes = packr.pack(sent).length;
+  const wholeBytes = packr.pack(second).length;
+  t.ok(bytes < wholeBytes * CHANGE_SHARE, `${bytes} of ${wholeBytes} bytes`);
+
+  const result = state.apply({ index: 2, logTime: 1, command: sent });
+  replica.apply({ index: 2, logTime: 1, command: second });
+  t.match(result, { kind: "accepted", version: 2 });
+  t.same(state.site, replica.site);
+  t.equal(state.document, replica.document);
+  t.same(state.viewSince(KNOWN), replica.viewSince(KNOWN));
+  t.same(
+    state.apply({ index: 3, logTime: 2, command: second }),
+    result,
+    "a resend of the whole configuration gets the same result",
+  );
+  const restored = createControlState();
+  restored.restore(state.snapshot());
+  t.same(restored.amendable, state.amendable);
+});
+
+test("a part of a configuration is not applied to another one", async (t) => {
+  const state = createControlState();
+  state.apply({
+    index: 1,
+    logTime: 0,
+    command: createNumberedChange(createSite(800), 0),
+  });
+  const sent = await submit(state, createNumberedChange(createSite(900), 1));
+  const unnumbered = fakeChange({
+    changeId: "unnumbered",
+    action: { kind: "configure", site: createSite(700) },
+  });
+  state.apply({ index: 2, logTime: 1, command: unnumbered });
+  const result = state.apply({ index: 3, logTime: 2, command: sent });
+  t.match(result, { kind: "conflict" });
+  t.same(state.site, createSite(700));
+});
+
 test("a node that applies the changes of routes serves what is in force", (t) => {
   const { "r-3": _removed, ...routes } = createSite(900).routes;
   const before = createConfiguredState([createSite(800)]);
