--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -202,7 +202,15 @@
   status: number,
   value: unknown,
 ): void {
-  const text = JSON.stringify(value, null, 2) + "\n";
+  sendJsonText(response, status, JSON.stringify(value, null, 2) + "\n");
+}
+
+/** Sends a JSON response that is already formatted. */
+export function sendJsonText(
+  response: ServerResponse,
+  status: number,
+  text: string,
+): void {
   closeIfBodyUnread(response);
   response.writeHead(status, {
     "content-type": "application/json",
