Send nothing to a backend server that says in its answers that it leaves

What callers would see: requests sent to a server that is going away.

Cause: a leaving server was known only from its heartbeats or its removal, which may be late or, at a server that never says it drains, come last; and what a guard knew went with its process once control had removed the member.

The guard then stops and the node registers the leave, as for a heartbeat. Loads name the run of the server that leaves, and each ingress remembers it, so that a node which has passed on such an answer sends nothing more to that run, also when the server's own node has restarted and has not heard of it. A new run of the server is not concerned.

Tests: tests/scenario/leaving_test.ts. Red without the guard's part (95 requests after the drain time), and without the ingress's memory (1 request after the restart).

--- a/src/guard/backend.ts
+++ b/src/guard/backend.ts
@@ -49,6 +49,8 @@
    * Time for which the server stays cold by its own account, in milliseconds.
    */
   coldMs?: number;
+  /** Whether the server leaves and takes no more requests. */
+  leaving?: boolean;
   /** Requests a second that the server takes, if it limits them at present. */
   requestsPerS?: number;
   report?: LoadReport;
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -76,6 +76,8 @@
    * sender; it may be empty.
    */
   onNewerVersion: (version: number, peer: string) => void;
+  /** Called when the backend server says in its answers that it leaves. */
+  onServerLeaving: (boot: string) => void;
   /**
    * Called when a decision needs a current load report of the backend server,
    * so that the node can request one if the last one is stale.
@@ -215,6 +217,7 @@
     healthPath: () => settings()?.health_path,
     onCold: rates.noteCold,
     onLimit: rates.limit.noteAnswer,
+    onLeaving: (boot) => leaving || options.onServerLeaving(boot),
     onReport: (slowness) => {
       watch.report(slowness);
       admission.startWaitingRequests();
@@ -245,6 +248,7 @@
       version: directory.version,
       slowness: link.report?.slowness ?? 1,
       incarnation,
+      leavingBoot: leaving ? link.announced?.boot : undefined,
     };
   }
 
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -76,6 +76,8 @@
    * monotonic time at which its request was sent.
    */
   onLimit: (requestsPerS: number | undefined, sentAt: number) => void;
+  /** Called for each answer in which the announced server says that it leaves. */
+  onLeaving: (boot: string) => void;
   /** Called when the server reports its current slowness. */
   onReport: (slowness: number) => void;
 }
@@ -175,6 +177,9 @@
 
   function applyAnswerMetadata(metadata: AnswerMetadata, sentAt: number): void {
     options.onLimit(metadata.requestsPerS, sentAt);
+    if (metadata.leaving && announced) {
+      options.onLeaving(announced.boot);
+    }
     if (metadata.report) {
       report = metadata.report;
       reportedAt = timer.now();
--- a/src/ingress/hints.ts
+++ b/src/ingress/hints.ts
@@ -54,6 +54,11 @@
   incarnationOf(member: Member): string;
   /** Returns whether there is no recent load report of a server. */
   lacksRecentReport(server: string): boolean;
+  /**
+   * Whether a member's run of its server said that it leaves. This outlasts the
+   * guard's restart and the member's registration.
+   */
+  isLeaving(member: Member): boolean;
   /** Discards the observations of a server that was replaced. */
   forget(server: string): void;
 }
@@ -75,6 +80,8 @@
 /** Creates hints without observations. */
 export function createHints(timer: Timer): Hints {
   const hints = new Map<string, ServerHint>();
+  /** Last run of each server that is known to leave. */
+  const leavingBoots = new Map<string, string>();
   let nextId = 0;
 
   function hintOf(server: string): ServerHint {
@@ -109,6 +116,12 @@
     return latencyMs * INITIAL_LATENCY_MS / usualMs;
   }
 
+  function noteLeaving(server: string, load: Load | undefined): void {
+    if (load?.leavingBoot !== undefined) {
+      leavingBoots.set(server, load.leavingBoot);
+    }
+  }
+
   function setLoad(hint: ServerHint, load: Load): void {
     hint.load = load;
     hint.loadAt = timer.now();
@@ -181,13 +194,18 @@
       const id = nextId++;
       hint.attempts.set(id, { at: timer.now(), usualMs });
       return (observation) => {
+        noteLeaving(server, observation?.load);
         if (hint.attempts.delete(id) && observation) {
           const latencyMs = normalizeMs(observation.latencyMs, usualMs);
           observe(hint, { ...observation, latencyMs });
         }
       };
     },
-    recordLoad: (server, load) => setLoad(hintOf(server), load),
+    recordLoad(server, load) {
+      noteLeaving(server, load);
+      setLoad(hintOf(server), load);
+    },
+    isLeaving: ({ server, boot }) => leavingBoots.get(server) === boot,
     candidate(member, domain) {
       const hint = hintOf(member.server);
       const now = timer.now();
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -58,7 +58,8 @@
   ): Member[] {
     const members = directory.service(route.service)?.members ?? [];
     return members.filter((member) =>
-      directory.inService(member) && !avoid.has(member.server)
+      directory.inService(member) && !avoid.has(member.server) &&
+      !hints.isLeaving(member)
     );
   }
 
--- a/src/network/frames.ts
+++ b/src/network/frames.ts
@@ -28,12 +28,14 @@
   version: z.number(),
   slowness: z.number(),
   incarnation: z.string(),
+  leavingBoot: z.string().optional(),
 });
 
 /**
  * Load of a backend server as seen by its guard. `slowness` is the present
  * service time as a multiple of the usual one. `incarnation` identifies the
  * guard's process; senders learn it here before they learn it from control.
+ * `leavingBoot` is the run of the server that leaves, if it does.
  */
 export type Load = z.infer<typeof loadSchema>;
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -240,6 +240,7 @@
     createBackend: options.createBackend,
     shareSuspicion: (frame) => void broadcastSuspicion(frame),
     onNewerVersion: sync.catchUp,
+    onServerLeaving: (boot) => void leave(boot),
     onReportNeeded: () => reportRefresh.ensureFresh(),
   });
   const reportRefresh = createReportRefresh({
@@ -437,6 +438,28 @@
     );
   }
 
+  async function leave(
+    boot: string,
+    onRecorded: () => void = () => {},
+  ): Promise<boolean> {
+    if (guard.announced?.boot !== boot) {
+      // The boot is not announced here, so this process has no registration
+      // of it to update, and the leave counts as recorded.
+      onRecorded();
+      return await guard.leave(boot);
+    }
+    leaving = true;
+    const registering = register().then((recorded) => {
+      if (recorded) {
+        onRecorded();
+      }
+    });
+    const drained = await guard.leave(boot);
+    await registering;
+    await registration.leave();
+    return drained;
+  }
+
   /** Deregisters the backend server once its announcements have ended. */
   async function announcementTask(): Promise<void> {
     while (!signal.aborted) {
@@ -476,24 +499,7 @@
       freezeWatch = watchFreezes(timer, handleFreeze);
     },
     announce,
-    async leave(boot, onRecorded = () => {}) {
-      if (guard.announced?.boot !== boot) {
-        // The boot is not announced here, so this process has no registration
-        // of it to update, and the leave counts as recorded.
-        onRecorded();
-        return await guard.leave(boot);
-      }
-      leaving = true;
-      const registering = register().then((recorded) => {
-        if (recorded) {
-          onRecorded();
-        }
-      });
-      const drained = await guard.leave(boot);
-      await registering;
-      await registration.leave();
-      return drained;
-    },
+    leave,
     rejectInstance: (instance) =>
       guard.rejectInstance(instance, timer.wallTime()),
     async drain() {
--- a/tests/guard/endless_health_test.ts
+++ b/tests/guard/endless_health_test.ts
@@ -25,6 +25,7 @@
     healthPath: () => undefined,
     onCold: () => {},
     onLimit: () => {},
+    onLeaving: () => {},
     onReport: () => {},
   });
   const announcement = {
--- a/tests/scenario/fake_backend.ts
+++ b/tests/scenario/fake_backend.ts
@@ -58,6 +58,8 @@
   neverEndsBodies: boolean;
   /** Whether it leaves health checks unanswered. */
   healthChecksHang: boolean;
+  /** Whether its answers say that it leaves. */
+  saysLeaving: boolean;
   /** Requests a second that its answers name as its limit, if it has one. */
   requestsPerS: number | undefined;
   /** Whether it answers health checks with status 503, as it is leaving. */
@@ -183,6 +185,7 @@
     const { slowness } = server;
     return {
       instance: server.boot,
+      leaving: server.saysLeaving,
       requestsPerS: server.requestsPerS,
       coldMs: reportsLoad && !isCold() ? 0 : undefined,
       report: reportsLoad
@@ -256,6 +259,7 @@
     truncatesBodies: false,
     neverEndsBodies: false,
     healthChecksHang: false,
+    saysLeaving: false,
     requestsPerS: undefined,
     reportsLeaving: false,
     crash,
--- a/tests/scenario/leaving_test.ts
+++ b/tests/scenario/leaving_test.ts
@@ -67,3 +67,77 @@
   t.ok(drained);
   t.equal(call.reply?.status, 504);
 });
+
+/** Sends 50 calls a second through one node. */
+async function sendCalls(
+  world: World,
+  options: { via: string; durationMs: number },
+): Promise<void> {
+  for (let ms = 0; ms < options.durationMs; ms += 20) {
+    void world.call({ via: options.via, path: `/look/${ms}` });
+    await world.timer.advance(20);
+  }
+}
+
+/** Time in which a server that says that it leaves may still get requests. */
+const DRAIN_MS = 2_000;
+
+function countSince(world: World, name: string, since: number): number {
+  return world.vm(name).server.executions.filter(({ at }) => at > since).length;
+}
+
+test("a server that says in its answers that it leaves gets no more requests", async (t) => {
+  const world = await startSmallWorld({
+    seed: 21,
+    servers: 3,
+    reportsLoad: true,
+  });
+  await sendCalls(world, { via: "vm3", durationMs: 1_000 });
+  world.vm("vm1").server.saysLeaving = true;
+  const since = world.timer.now() + DRAIN_MS;
+  await sendCalls(world, { via: "vm3", durationMs: 6_000 });
+  t.equal(countSince(world, "vm1", since), 0);
+  const failed = world.calls.filter(({ reply }) =>
+    reply !== undefined && reply.status !== 200
+  );
+  t.equal(failed.length, 0, "the other servers answer");
+});
+
+test("a leaving server gets no requests from nodes that heard of it after its own node restarts and has not", async (t) => {
+  const world = await startSmallWorld({
+    seed: 22,
+    servers: 3,
+    reportsLoad: true,
+  });
+  await sendCalls(world, { via: "vm3", durationMs: 1_000 });
+  const { server } = world.vm("vm1");
+  server.saysLeaving = true;
+  await sendCalls(world, { via: "vm3", durationMs: 1_000 });
+  const since = world.timer.now() + DRAIN_MS;
+  await sendCalls(world, { via: "vm3", durationMs: DRAIN_MS });
+  // The restarted node learns nothing of the leave: its server's health checks
+  // hang, and it announces itself as before.
+  server.healthChecksHang = true;
+  world.killNode("vm1");
+  const restarting = world.startNode("vm1");
+  await sendCalls(world, { via: "vm3", durationMs: 4_000 });
+  await restarting;
+  t.equal(world.vm("vm1").node.guard.announced?.boot, server.boot);
+  t.equal(countSince(world, "vm1", since), 0);
+});
+
+test("a new run of a server that left gets requests", async (t) => {
+  const world = await startSmallWorld({
+    seed: 23,
+    servers: 2,
+    reportsLoad: true,
+  });
+  const { server } = world.vm("vm1");
+  server.saysLeaving = true;
+  await sendCalls(world, { via: "vm2", durationMs: 2_000 });
+  server.saysLeaving = false;
+  server.start();
+  const since = world.timer.now();
+  await sendCalls(world, { via: "vm2", durationMs: 4_000 });
+  t.ok(countSince(world, "vm1", since) > 0);
+});
