Keep a node alive when a call of its local API is cut

Cause: local_api.ts started these handlers without awaiting or catching them, so reading the cut body rejected with nobody to handle it. No other HTTP interface starts a handler so (searched in src and platform).

A failing handler now logs local_api.request_failed and ends its connection.

--- a/src/http/local_api.ts
+++ b/src/http/local_api.ts
@@ -6,7 +6,7 @@
 import findMyWay from "find-my-way";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
-import { errorMessage } from "../core/errors.ts";
+import { errorFields, errorMessage } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Node } from "../node/node.ts";
 import { readLimitedBody } from "./body.ts";
@@ -106,12 +106,25 @@
     sendJson(response, left ? 200 : 409, { left });
   }
 
-  router.on("POST", "/announce", (request, response) => {
-    void handleAnnounce(request as IncomingMessage, response as ServerResponse);
-  });
-  router.on("POST", "/leave", (request, response) => {
-    void handleLeave(request as IncomingMessage, response as ServerResponse);
-  });
+  /** Registers a handler; a call that fails, as one that is cut, ends alone. */
+  function onPost(
+    path: string,
+    handle: (
+      request: IncomingMessage,
+      response: ServerResponse,
+    ) => Promise<void>,
+  ): void {
+    router.on("POST", path, (request, response) => {
+      handle(request as IncomingMessage, response as ServerResponse)
+        .catch((error) => {
+          logger.warn("local_api.request_failed", errorFields(error));
+          response.destroy();
+        });
+    });
+  }
+
+  onPost("/announce", handleAnnounce);
+  onPost("/leave", handleLeave);
   router.on("GET", "/status", (_request, response) => {
     sendJson(response as ServerResponse, 200, getNodeStatus(node));
   });
@@ -125,7 +138,7 @@
     try {
       router.lookup(request, response);
     } catch (error) {
-      logger.warn("local_api.request_failed", { error: errorMessage(error) });
+      logger.warn("local_api.request_failed", errorFields(error));
       sendJson(response, 500, { error: errorMessage(error) });
     }
   });
