--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -4,11 +4,7 @@
  * @module
  */
 import type { Recorder } from "../account/events.ts";
-import {
-  type Cancellation,
-  createCanceller,
-  neverCancelled,
-} from "../core/cancellation.ts";
+import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
@@ -20,17 +16,12 @@
   AttemptId,
   Frame,
   Load,
-  RefusalReason,
   Refused,
 } from "../network/frames.ts";
 import type { Directory } from "../node/directory.ts";
 import { createViewResponder } from "../node/view_request.ts";
 import type { Service } from "../settings/site.ts";
-import {
-  type Admission,
-  type AdmissionRequest,
-  createAdmission,
-} from "./admission.ts";
+import { type Admission, createAdmission } from "./admission.ts";
 import { createAttemptLog, type Refusal } from "./attempt_log.ts";
 import { createAttemptLedger } from "./attempt_ledger.ts";
 import type {
@@ -49,8 +40,7 @@
 import { createServerRates } from "./server_rates.ts";
 import { createServerWatch } from "./server_watch.ts";
 import { createKeepaliveSender } from "./keepalive_sender.ts";
-import { isFirstChoice } from "./first_choice.ts";
-import { findTurnAwayReason } from "./turn_away.ts";
+import { createRefusalRules, type Lifecycle } from "./refusal_rules.ts";
 import type { Completion } from "./warmup.ts";
 
 /** Options of {@link createGuard}. */
@@ -207,6 +197,11 @@
     }),
     share: options.shareSuspicion,
   });
+  const lifecycle: Lifecycle = {
+    leaving: false,
+    draining: false,
+    superseded: false,
+  };
   const viewFor = createViewResponder(directory);
   const watch = createServerWatch(timer);
   const link = createServerLink({
@@ -217,17 +212,28 @@
     healthPath: () => settings()?.health_path,
     onCold: rates.noteCold,
     onLimit: rates.limit.noteAnswer,
-    onLeaving: (boot) => leaving || options.onServerLeaving(boot),
+    onLeaving: (boot) => lifecycle.leaving || options.onServerLeaving(boot),
     onReport: (slowness) => {
       watch.report(slowness);
       admission.startWaitingRequests();
     },
   });
+  const rules = createRefusalRules({
+    vm,
+    domain,
+    incarnation,
+    directory,
+    timer,
+    lifecycle,
+    link,
+    rates,
+    admission,
+    watch,
+    crashes,
+    settings,
+  });
   /** Attempts that run, with the channels on which their senders wait. */
   const activeRuns = new Set<{ channel: Channel; deadlineAt: number }>();
-  let leaving = false;
-  let draining = false;
-  let superseded = false;
   let wasWithdrawn = false;
 
   function settings(): Service | undefined {
@@ -248,7 +254,7 @@
       version: directory.version,
       slowness: link.report?.slowness ?? 1,
       incarnation,
-      leavingBoot: leaving ? link.announced?.boot : undefined,
+      leavingBoot: lifecycle.leaving ? link.announced?.boot : undefined,
     };
   }
 
@@ -304,112 +310,6 @@
     applyWithdrawal();
   });
 
-  function findRefusalReason(frame: Attempt): RefusalReason | undefined {
-    if (superseded) {
-      return "superseded";
-    }
-    if (frame.incarnation !== incarnation) {
-      return "other_incarnation";
-    }
-    const serviceReason = findServiceRefusalReason(frame.service);
-    if (serviceReason) {
-      return serviceReason;
-    }
-    return crashes.suspicionOf(frame) === "quarantined"
-      ? "quarantined"
-      : undefined;
-  }
-
-  /** Returns why this guard refuses every request for a service, if it does. */
-  function findServiceRefusalReason(
-    service: string,
-  ): RefusalReason | undefined {
-    if (draining || leaving) {
-      return "draining";
-    }
-    if (directory.isDomainWithdrawn(domain)) {
-      return "domain_out";
-    }
-    if (directory.isServerWithdrawn(vm)) {
-      return "server_out";
-    }
-    const serves = link.announced?.service === service;
-    if (!link.backend || link.down || !serves) {
-      return "no_backend_server";
-    }
-    return settings() ? undefined : "not_ready";
-  }
-
-  function startsAtOnce(service: string): boolean {
-    if (superseded || findServiceRefusalReason(service)) {
-      return false;
-    }
-    if (rates.warmup.cold || rates.warmup.pauseMs > 0) {
-      return false;
-    }
-    return isFirstChoice({
-      inFlight: admission.inFlight,
-      queued: admission.queued,
-      allowed: rates.warmup.allowed,
-      report: link.report &&
-        { slowness: link.report.slowness, ageMs: link.reportAgeMs },
-      failureRatio: watch.failureRatio(),
-    });
-  }
-
-  /**
-   * Returns why another guard should run an attempt, if the sender is able to
-   * ask another one.
-   */
-  function findTurnAwayRefusal(frame: Attempt): Refusal | undefined {
-    if (!frame.elsewhere) {
-      return undefined;
-    }
-    const { objectiveLeftMs = Infinity } = frame;
-    const waitMs = admission.expectedWaitMs(
-      createAdmissionRequest(frame, {
-        exclusive: false,
-        signal: neverCancelled,
-      }),
-    );
-    const reason = findTurnAwayReason({
-      slowness: link.report?.slowness ?? 1,
-      reportAgeMs: link.reportAgeMs,
-      waitMs,
-      slackMs: objectiveLeftMs - watch.usualMs(frame.class),
-      failureRatio: watch.failureRatio(),
-    });
-    return reason && { reason, waitMs };
-  }
-
-  /** Returns why an attempt is refused without queueing, if it is. */
-  function findRefusal(frame: Attempt): Refusal | undefined {
-    const reason = findRefusalReason(frame);
-    return reason ? { reason } : findTurnAwayRefusal(frame);
-  }
-
-  /**
-   * Creates the request for admission. It holds points in monotonic time, while
-   * the frame holds the time left.
-   */
-  function createAdmissionRequest(
-    frame: Attempt,
-    options: { exclusive: boolean; signal: Cancellation },
-  ): AdmissionRequest {
-    const { objectiveLeftMs } = frame;
-    const now = timer.now();
-    return {
-      workspace: frame.tenant,
-      rank: frame.rank,
-      deadlineAt: now + frame.timeLeftMs,
-      objectiveAt: objectiveLeftMs === undefined
-        ? undefined
-        : now + objectiveLeftMs,
-      usualMs: watch.usualMs(frame.class),
-      ...options,
-    };
-  }
-
   /** Creates the refusal of an attempt. The ledger must hold it as fenced. */
   function createRefusal(
     attempt: AttemptId,
@@ -488,7 +388,7 @@
     if (frame.version > directory.version) {
       options.onNewerVersion(frame.version, frame.from);
     }
-    const immediateRefusal = findRefusal(frame);
+    const immediateRefusal = rules.findRefusal(frame);
     const ledgerResult = immediateRefusal
       ? ledger.fence(attempt)
       : ledger.start(attempt);
@@ -567,7 +467,10 @@
     const { attempt } = frame;
     const queuedAt = timer.now();
     const admitting = admission.admit(
-      createAdmissionRequest(frame, { exclusive, signal: channelClosed }),
+      rules.createAdmissionRequest(frame, {
+        exclusive,
+        signal: channelClosed,
+      }),
     );
     if (admission.queued > 0) {
       options.onReportNeeded?.();
@@ -587,7 +490,7 @@
     // The reasons to refuse may have changed while the attempt was queued.
     const reasonAfterWait = channelClosed.cancelled
       ? "cancelled"
-      : findRefusalReason(frame);
+      : rules.findRefusalReason(frame);
     const { backend } = link;
     if (reasonAfterWait || !backend) {
       admissionResult.slot.release();
@@ -723,7 +626,7 @@
     get announced() {
       return link.announced;
     },
-    startsAtOnce,
+    startsAtOnce: rules.startsAtOnce,
     load,
     probe: link.probe,
     get reportAgeMs() {
@@ -731,7 +634,8 @@
     },
     announce(next) {
       const previous = link.announced;
-      const crashed = previous !== undefined && !leaving && !link.down &&
+      const crashed = previous !== undefined && !lifecycle.leaving &&
+        !link.down &&
         crashes.sawResets;
       const result = link.announce(next);
       if (result !== "new") {
@@ -743,7 +647,7 @@
       if (crashed) {
         crashes.recordCrash(`${vm} ${previous.boot}`);
       }
-      leaving = false;
+      lifecycle.leaving = false;
       directory.subscribe(next.service);
       applySettings();
       restartWarmup("a new boot");
@@ -763,7 +667,7 @@
       if (link.announced?.boot !== boot) {
         return false;
       }
-      leaving = true;
+      lifecycle.leaving = true;
       admission.refuseWaiting("draining");
       recorder.record({
         kind: "leaving",
@@ -775,7 +679,7 @@
       return true;
     },
     async drain() {
-      draining = true;
+      lifecycle.draining = true;
       admission.refuseWaiting("draining");
       recorder.record({
         kind: "leaving",
@@ -788,7 +692,7 @@
       }
     },
     supersede() {
-      superseded = true;
+      lifecycle.superseded = true;
       admission.refuseWaiting("superseded");
       logger.error("guard.superseded", { incarnation });
     },
@@ -818,7 +722,7 @@
       boot: link.announced?.boot ?? "",
       ...load(),
       cold: rates.rampCold,
-      draining: draining || leaving,
+      draining: lifecycle.draining || lifecycle.leaving,
       probes: link.probes,
       suspects: crashes.suspects,
     }),
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -16,10 +16,7 @@
 import type { Announcement, AnnouncementResult } from "../guard/server_link.ts";
 import { createRateBudget } from "../ingress/budget.ts";
 import { createExchanger } from "../ingress/exchange.ts";
-import {
-  SILENCE_FINDINGS,
-  type SilenceFinding,
-} from "../ingress/attempt_recovery.ts";
+import type { SilenceFinding } from "../ingress/attempt_recovery.ts";
 import {
   type ClaimService,
   createIngress,
@@ -36,6 +33,7 @@
 import { createControlClient } from "./control_client.ts";
 import { createDirectory, type Directory } from "./directory.ts";
 import { type FreezeWatch, watchFreezes } from "./freeze_watch.ts";
+import { exposeNodeMetrics } from "./node_metrics.ts";
 import { createRegistration } from "./registration.ts";
 import { createReportRefresh } from "./report_refresh.ts";
 import { createSync, type Sync } from "./sync.ts";
@@ -257,21 +255,7 @@
     timer,
     () => directory.global?.limits.measuring.probes_per_server_per_s ?? 0,
   );
-  metrics.initializeCounter("guard_silences", {
-    label: "finding",
-    values: [...SILENCE_FINDINGS],
-  });
-  metrics.count("left_unread", 0);
-  metrics.gauge("view_version", () => directory.version);
-  metrics.gauge(
-    "view_age_seconds",
-    () => (timer.now() - sync.lastSyncAt) / 1_000,
-  );
-  metrics.gauge("requests_in_flight", () => ingress.inFlight);
-  metrics.gauge("guard_in_flight", () => guard.load().inFlight);
-  metrics.gauge("guard_queued", () => guard.load().queued);
-  metrics.gauge("guard_allowed", () => guard.load().allowed);
-  metrics.gauge("server_slowness", () => guard.load().slowness);
+  exposeNodeMetrics({ metrics, timer, directory, sync, ingress, guard });
   const openChannels = new Set<Channel>();
   let listener: Listener | undefined;
   let freezeWatch: FreezeWatch | undefined;
