Send the long bodies of requests with an idempotency key

Cause: such a body reaches the ingress as a stream, which keyed_calls.ts neither sent nor hashed: the guard waited for data that nobody sent, and two different bodies under one key had the same hash.

The body is now read whole, up to the route's max_body_bytes, before the key is claimed; it is hashed, and each attempt streams it anew. A body over the limit is refused without a claim.

--- a/src/ingress/keyed_calls.ts
+++ b/src/ingress/keyed_calls.ts
@@ -16,6 +16,7 @@
 } from "./call.ts";
 import { attemptAt, type AttemptEnd, createReply } from "./attempt.ts";
 import type { IngressParts, RoutedCall } from "./ingress.ts";
+import { type KeyedBody, readKeyedBody } from "./keyed_body.ts";
 
 /** Source in the ids of attempts that are numbered by their claims. */
 export const CLAIM_SOURCE = "claims";
@@ -32,6 +33,7 @@
 
 /** State of one keyed request across its attempts. */
 interface Progress {
+  body: KeyedBody;
   attempts: number;
   tried: Set<string>;
   /** Index of the last claim, whose attempt provably did not run. */
@@ -40,11 +42,15 @@
 }
 
 /** Returns a hash that detects a different request with the same key. */
-function requestHashOf({ method, path, body }: Call): string {
-  const bytes = body instanceof Uint8Array ? body : new Uint8Array();
+function requestHashOf({ method, path }: Call, { bytes }: KeyedBody): string {
   return computeFingerprint({ method, path, body: bytes });
 }
 
+/** Returns a call with the body that was read from it. */
+function withBody(routed: RoutedCall, body: Call["body"]): RoutedCall {
+  return { ...routed, call: { ...routed.call, body } };
+}
+
 /** Creates the dispatcher of keyed requests. */
 export function createKeyedCalls(parts: IngressParts): KeyedCalls {
   const { timer, random, claims, exchanger, directory, recorder } = parts;
@@ -69,10 +75,13 @@
     claim: { key: string; index: number; member: Member; progress: Progress },
   ): Promise<Reply | undefined> {
     const { key, index, member, progress } = claim;
+    const { body } = progress;
+    const stream = body.stream();
     progress.attempts++;
     // The attempt continues if the caller leaves, so that its outcome is known.
     const end: AttemptEnd = await attemptAt(parts, {
-      routed,
+      routed: withBody(routed, stream ?? body.bytes),
+      stream,
       member,
       id: { source: CLAIM_SOURCE, order: index },
       suspect: false,
@@ -196,9 +205,15 @@
 
   return {
     async run(routed, callerKey) {
+      const { max_body_bytes: maxBytes } = routed.settings;
+      const body = await readKeyedBody(routed.call, maxBytes);
+      if (!body) {
+        return notRunReply("body_too_large");
+      }
       const key = claimKey(routed, callerKey);
-      const requestHash = requestHashOf(routed.call);
+      const requestHash = requestHashOf(routed.call, body);
       const progress: Progress = {
+        body,
         attempts: 0,
         tried: new Set(),
         replaces: undefined,
--- a/tests/scenario/fake_backend.ts
+++ b/tests/scenario/fake_backend.ts
@@ -34,6 +34,8 @@
   server: string;
   requestId: string;
   key: string;
+  /** Length of the request's body, once it has been read. */
+  bodyLength: number;
 }
 
 /** A fake backend server. */
@@ -139,6 +141,20 @@
     });
   }
 
+  /** Reads a body that is streamed; a whole one is there already. */
+  async function readBody(
+    { body }: BackendRequest,
+    execution: Execution,
+  ): Promise<void> {
+    if (body === undefined || body instanceof Uint8Array) {
+      execution.bodyLength = body?.length ?? 0;
+      return;
+    }
+    for await (const chunk of body) {
+      execution.bodyLength += chunk.length;
+    }
+  }
+
   async function* createBody(
     text: string,
     request: BackendRequest,
@@ -213,12 +229,15 @@
       };
     }
     const requestId = headerOf(request, "mustardcross-request-id");
-    executions.push({
+    const execution: Execution = {
       at: timer.now(),
       server: vm,
       requestId,
       key: headerOf(request, "idempotency-key"),
-    });
+      bodyLength: 0,
+    };
+    executions.push(execution);
+    await readBody(request, execution);
     if (server.failStatus !== undefined) {
       if (server.failsAfterRun) {
         await run(request);
