--- a/src/control/revisions.ts
+++ b/src/control/revisions.ts
@@ -2,7 +2,6 @@
  * Revisions of the view: the log entry that last changed each part of it.
  * @module
  */
-
 import {
   createKeyRevisions,
   type KeyChanges,
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -212,7 +212,11 @@
     healthPath: () => settings()?.health_path,
     onCold: rates.noteCold,
     onLimit: rates.limit.noteAnswer,
-    onLeaving: (boot) => lifecycle.leaving || options.onServerLeaving(boot),
+    onLeaving(boot) {
+      if (!lifecycle.leaving) {
+        options.onServerLeaving(boot);
+      }
+    },
     onReport: (slowness) => {
       watch.report(slowness);
       admission.startWaitingRequests();
--- a/src/guard/server_rates.ts
+++ b/src/guard/server_rates.ts
@@ -88,18 +88,22 @@
   const limitedRamp = withLimit(ramp, limit);
   const limitedColdRate = withLimit(coldRate, limit);
 
+  function currentWarmup(): Warmup {
+    return settings()?.cold_rate_per_s === undefined
+      ? limitedRamp
+      : limitedColdRate;
+  }
+
   return {
     get warmup() {
-      return settings()?.cold_rate_per_s === undefined
-        ? limitedRamp
-        : limitedColdRate;
+      return currentWarmup();
     },
     get rampCold() {
       return ramp.cold;
     },
     limit,
     sustained(slotTimeMs) {
-      const { allowed } = this.warmup;
+      const { allowed } = currentWarmup();
       return limit.intervalMs === 0
         ? allowed
         : Math.min(allowed, slotTimeMs / limit.intervalMs);
