Apply an answer's metadata only to the run of the server that gave it

What callers would see: after a server has started anew, a late answer of its earlier run that names a limit, says that it leaves or that another instance is at the address makes the guard limit, leave or mark down the new run.

Cause: the metadata of an answer was applied to whichever run was announced when it came.

A guard now compares the run that a request was sent to.

Test: tests/scenario/leaving_test.ts, 'a late answer of an earlier run does not make the present one leave', red before.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -495,7 +495,8 @@
     const reasonAfterWait = channelClosed.cancelled
       ? "cancelled"
       : rules.findRefusalReason(frame);
-    const { backend } = link;
+    const { backend, announced } = link;
+    const boot = announced?.boot;
     if (reasonAfterWait || !backend) {
       admissionResult.slot.release();
       const reason = reasonAfterWait ?? "no_backend_server";
@@ -519,7 +520,7 @@
       channel,
       frame,
       backend,
-      instance: link.announced?.instance ?? "",
+      instance: announced?.instance ?? "",
       timer,
       channelClosed,
       load,
@@ -531,7 +532,11 @@
         }
         handleCompletion(frame, completion);
       },
-      onAnswerMetadata: handleAnswerMetadata,
+      onAnswerMetadata(metadata, sentAt) {
+        if (link.announced?.boot === boot) {
+          handleAnswerMetadata(metadata, sentAt);
+        }
+      },
     });
     const ending = run.ended.then((end) => {
       runWatch.recordEnd(end);
--- a/tests/scenario/leaving_test.ts
+++ b/tests/scenario/leaving_test.ts
@@ -141,3 +141,24 @@
   await sendCalls(world, { via: "vm2", durationMs: 4_000 });
   t.ok(countSince(world, "vm1", since) > 0);
 });
+
+test("a late answer of an earlier run does not make the present one leave", async (t) => {
+  const world = await startSmallWorld({
+    seed: 24,
+    servers: 1,
+    reportsLoad: true,
+  });
+  const { node, server } = world.vm("vm1");
+  world.vm("vm1").announcing = false;
+  server.healthChecksHang = true;
+  server.slowness = 40;
+  server.saysLeaving = true;
+  const late = world.call({ via: "vm1", path: "/look/late" });
+  await world.timer.advance(10);
+  t.equal(server.executions.length, 1, "the request runs");
+  const next = { ...node.guard.announced!, boot: "next", sequence: 1 };
+  void node.announce(next);
+  await world.timer.advance(1_500);
+  t.equal(late.reply?.status, 200);
+  t.notOk(node.guard.status().draining);
+});
