Keep a node's syncs alive when a view cannot be unpacked

What callers would see: a node whose sync task fails keeps the configuration that it has until the task is started again.

The node now logs node.view_malformed, counts nothing of the reply, and asks another replica next.

--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -7,7 +7,7 @@
 import type { Member } from "../control/commands.ts";
 import { type Renewal, syncMethod } from "../control/node_methods.ts";
 import { unpackView } from "../control/route_packing.ts";
-import { viewSchema } from "../control/view.ts";
+import { type View, viewSchema } from "../control/view.ts";
 import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import {
@@ -95,6 +95,17 @@
     return base * (0.9 + 0.2 * random.fraction());
   }
 
+  /** Unpacks a view; logs a malformed one, and asks another replica next. */
+  function tryUnpack(view: View): View | undefined {
+    try {
+      return unpackView(view);
+    } catch (error) {
+      logger.warn("node.view_malformed", errorFields(error));
+      client.selectNextReplica();
+      return undefined;
+    }
+  }
+
   async function syncOnce(): Promise<boolean> {
     const events = recorder.take(MAX_EVENTS_PER_SYNC);
     const known = directory.known;
@@ -115,7 +126,11 @@
       client.selectNextReplica();
       return false;
     }
-    const { view, stalenessMs, leaseLost, leader, own } = reply.value;
+    const { stalenessMs, leaseLost, leader, own } = reply.value;
+    const view = tryUnpack(reply.value.view);
+    if (!view) {
+      return false;
+    }
     client.updateReplicas(reply.value.replicas);
     directory.setFleetSize(reply.value.fleetSize);
     if (leader) {
@@ -132,7 +147,7 @@
     }
     confirmed = true;
     lastSyncAt = timer.now();
-    directory.apply(unpackView(view));
+    directory.apply(view);
     if (own) {
       options.onRegistrationFound(own);
     }
