Show that an answer cut in its head is no success

Tried: six kinds of answers (with a length, empty, in chunks, with a trailer, behind an interim head, on a connection that closes), each cut after every byte, read in chunks and in one piece; heads without a length; the answer to a health check; and a POST through a whole node, cut after each byte of its head. None passed for whole: the client of backend servers fails with backend.reset, a health check fails, the caller gets 502.

Not here, so nothing is changed. The runtime's parser reports a head only once it is complete, and the client rejects when the connection closes before. The tests would fail if a client with another parser took its place.

--- a/tests/guard/raw_server.ts
+++ b/tests/guard/raw_server.ts
@@ -17,6 +17,8 @@
   readonly bytesWritten: number;
   /** Writes a text once. */
   write(text: string): void;
+  /** Writes a text once, and closes the connection behind it. */
+  end(text: string): void;
   /** Writes a text repeatedly until the connection closes. */
   flood(text: string): void;
 }
@@ -44,6 +46,7 @@
       return socket.bytesWritten;
     },
     write: (text) => void socket.write(text),
+    end: (text) => void socket.end(text),
     flood(text) {
       const bytes = Buffer.from(
         text.repeat(Math.ceil(FLOOD_BYTES / text.length)),
