Believe a refusal only if it names its own request

Cause: the platform's dialect compared the request id of an answer only for answers that are not refusals. A refusal, or the 421 of another instance, was believed whatever request it named, and its request was sent to a second server or its caller was told that it had not run.

Change: answer_match.ts decides, for each answer before anything else of it is believed, whether it belongs to the request that waits for it.

Refusals that name their own request are believed as before.

--- a/src/guard/backend.ts
+++ b/src/guard/backend.ts
@@ -37,6 +37,8 @@
 
 /** Metadata in the head of an answer, in addition to its status. */
 export interface AnswerMetadata {
+  /** Request that the answer names as its own, if it names one. */
+  requestId?: string;
   /** Whether the backend server proves that it did not run the request. */
   notRun?: boolean;
   /** Why the answer cannot belong to the request. */
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -11,6 +11,7 @@
 import { type BackendDialect, DefaultBackendDialect } from "../http/dialect.ts";
 import { parseRawHeaders } from "../http/raw_headers.ts";
 import { waitForDrain } from "../http/wait_for_drain.ts";
+import { findMismatch } from "./answer_match.ts";
 import {
   type Backend,
   BackendError,
@@ -307,12 +308,16 @@
           headers: parseRawHeaders(answer.rawHeaders),
         };
         const metadata = dialect.readMetadata(head, request);
-        if (metadata.defect) {
+        const defect = metadata.defect ?? findMismatch({
+          requestId: request.requestId,
+          named: metadata.requestId,
+        });
+        if (defect) {
           started.release();
           started.destroy();
           throw new BackendError("defective", {
             peer: address,
-            message: metadata.defect,
+            message: defect,
           });
         }
         pool.setIdleTimeout(answer.socket, advertisedIdleMs(head.headers));
--- a/src/http/dialect.ts
+++ b/src/http/dialect.ts
@@ -102,7 +102,7 @@
     return headers;
   }
 
-  readMetadata(): AnswerMetadata {
-    return {};
+  readMetadata({ headers }: { headers: HeaderList }): AnswerMetadata {
+    return { requestId: headerValue(headers, REQUEST_ID_HEADER) };
   }
 }
