Close a connection after a refusal on it

Cause: the connection on which a server had refused a request was kept and carried the next request, so that a second copy of the refusal was read as the answer to it.

Change: the pool retires a connection after an answer that proves that nothing ran, and after a 503, which some services' settings take for that proof. Ruled out: remembering the refused ids of each connection, which does not help where refusals name no request. A refusal costs its server a new connection now; guards count slots, so servers refuse rarely.

--- a/src/guard/connection_pool.ts
+++ b/src/guard/connection_pool.ts
@@ -38,6 +38,8 @@
   idleSince: number;
   /** Whether a request is in flight on it. */
   busy: boolean;
+  /** Whether it is closed after the request in flight. */
+  retired: boolean;
   /**
    * Bytes read when a head, a chunk or the end of an answer was last parsed.
    */
@@ -98,6 +100,14 @@
     }
   }
 
+  /** Closes a connection once its request in flight has ended. */
+  retire(socket: Socket): void {
+    const state = this.#states.get(socket);
+    if (state) {
+      state.retired = true;
+    }
+  }
+
   /** Closes idle connections now and busy ones once they become idle. */
   close(): void {
     this.#closed = true;
@@ -142,6 +152,7 @@
       idleMs: this.#options.idleMs,
       idleSince: 0,
       busy: false,
+      retired: false,
       bytesAtProgress: 0,
     };
     this.#states.set(socket, state);
@@ -195,6 +206,10 @@
     if (socket.destroyed) {
       return;
     }
+    if (state.retired) {
+      socket.destroy();
+      return;
+    }
     const next = this.#waiting.shift();
     if (next) {
       this.#assign(socket, next);
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -40,6 +40,8 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MS_PER_SECOND = 1_000;
+/** Status with which a server refuses a request, by some services' settings. */
+const UNAVAILABLE = 503;
 /** Largest body that is read in one piece. */
 const MAX_SHORT_BODY_BYTES = 32 * 1024;
 /** Methods whose requests have a `content-length` even without a body. */
@@ -321,6 +323,10 @@
           });
         }
         pool.setIdleTimeout(answer.socket, advertisedIdleMs(head.headers));
+        if (metadata.notRun || head.status === UNAVAILABLE) {
+          // A second copy of a refusal would pass for that of the next request.
+          pool.retire(answer.socket);
+        }
         const body: StreamingBody = {
           [Symbol.asyncIterator]: () => started.readChunks(answer),
           readAll: isShort(head.headers)
