Answer 400 to JSON that is nested too deeply

Cause: control formats each resource of a manifest, and the formatter calls itself for each level: operator.failed, "Maximum call stack size exceeded".

Ruled out: JSON.parse itself, which does not recurse.

--- a/src/http/admin_api.ts
+++ b/src/http/admin_api.ts
@@ -14,6 +14,7 @@
 import type { Control } from "../control/control.ts";
 import { submitChange } from "../control/submission.ts";
 import { errorMessage, StepError } from "../core/errors.ts";
+import { parseJson } from "../core/json.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Timer } from "../time/timer.ts";
 import { readLimitedBody } from "./body.ts";
@@ -124,14 +125,12 @@
       sendJson(response, 413, { error });
       return;
     }
-    let value: unknown;
-    try {
-      value = JSON.parse(bytes.toString("utf8"));
-    } catch (error) {
-      sendJson(response, 400, { error: errorMessage(error) });
+    const json = parseJson(bytes.toString("utf8"));
+    if (json.isErr()) {
+      sendJson(response, 400, { error: json.error });
       return;
     }
-    const parsed = changeRequestSchema.safeParse(value);
+    const parsed = changeRequestSchema.safeParse(json.value);
     if (!parsed.success) {
       sendJson(response, 400, { error: z.prettifyError(parsed.error) });
       return;
--- a/src/http/local_api.ts
+++ b/src/http/local_api.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
 import { errorFields, errorMessage } from "../core/errors.ts";
+import { parseJson } from "../core/json.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Node } from "../node/node.ts";
 import { readLimitedBody } from "./body.ts";
@@ -70,12 +71,12 @@
     if (!body) {
       return `the body is larger than ${MAX_BODY_BYTES} bytes`;
     }
-    try {
-      const parsed = schema.safeParse(JSON.parse(body.toString("utf8")));
-      return parsed.success ? parsed.data : z.prettifyError(parsed.error);
-    } catch (error) {
-      return errorMessage(error);
+    const json = parseJson(body.toString("utf8"));
+    if (json.isErr()) {
+      return json.error;
     }
+    const parsed = schema.safeParse(json.value);
+    return parsed.success ? parsed.data : z.prettifyError(parsed.error);
   }
 
   async function handleAnnounce(
