Reject the answer to a request in a health check

Cause: answers to health checks were not compared with what was asked, since a check has no request id. Now an answer that names any request is none to a check.

Such an answer proves nothing about the server either. It used to count as "not running", after which the guard records a crash; it is "unknown" now, as a timeout is.

tests/platform/late_health_answers_test.ts, red before: the second check passed, and 9,000 ms of cold start were applied.

--- a/src/guard/answer_match.ts
+++ b/src/guard/answer_match.ts
@@ -17,7 +17,7 @@
 export function findMismatch(
   { requestId, named }: AwaitedAnswer,
 ): string | undefined {
-  if (named !== undefined && requestId !== "" && named !== requestId) {
+  if (named !== undefined && named !== requestId) {
     return `an answer to request ${named}`;
   }
   return undefined;
--- a/src/guard/server_link.ts
+++ b/src/guard/server_link.ts
@@ -14,6 +14,7 @@
   type BackendAnswer,
   BackendError,
   type BackendFactory,
+  type BackendFailure,
   type LoadReport,
 } from "./backend.ts";
 
@@ -45,8 +46,9 @@
 
 /**
  * Result of a health check. `healthy` means that the server answered, with any
- * status. `unknown` means that no answer came in time, which proves nothing,
- * since the server or this process may only be slow. `not_running` means that
+ * status. `unknown` means that no answer came in time, or one that is not to the
+ * check. Neither proves anything: the server or this process may only be slow,
+ * and a late answer to a request may be in the way. `not_running` means that
  * the check failed in any other way, or that another instance answered: the
  * announced server no longer runs.
  */
@@ -130,6 +132,11 @@
 const PROBE_TIMEOUT_MS = 250;
 /** Longest body of a health check response, in bytes. */
 const MAX_HEALTH_BYTES = 64 * 1024;
+/**
+ * Failures of a health check that prove nothing: it timed out, or something at
+ * the address answered, but not to the check.
+ */
+const PROVES_NOTHING = new Set<BackendFailure>(["aborted", "defective"]);
 /** Connection limit until the service's settings are known. */
 const INITIAL_CONNECTIONS = 256;
 
@@ -269,9 +276,9 @@
         return "not_running";
       }
     } catch (error) {
-      const timedOut = error instanceof BackendError &&
-        error.failure === "aborted";
-      return timedOut ? "unknown" : "not_running";
+      return error instanceof BackendError && PROVES_NOTHING.has(error.failure)
+        ? "unknown"
+        : "not_running";
     }
     if (down && target === backend) {
       down = false;
