Reject an answer without a request id on a kept connection

Cause: the platform's dialect rejected an answer that names another request, but believed one that names none. On a connection that carries its first request nothing else can be in the way; on a kept one it cannot be told from a late answer to an earlier request.

Change: a dialect says whether its servers name the request in each answer. The platform's do, and there an answer to a request on a kept connection must name it. Refusals without a name are believed: none can be an earlier one, since their connections are closed. The product's own servers need not name requests.

--- a/src/guard/connection_pool.ts
+++ b/src/guard/connection_pool.ts
@@ -38,6 +38,8 @@
   idleSince: number;
   /** Whether a request is in flight on it. */
   busy: boolean;
+  /** Number of requests that were sent on it. */
+  requests: number;
   /** Whether it is closed after the request in flight. */
   retired: boolean;
   /**
@@ -100,6 +102,11 @@
     }
   }
 
+  /** Whether a connection has carried a request before the one in flight. */
+  wasUsedBefore(socket: Socket): boolean {
+    return (this.#states.get(socket)?.requests ?? 0) > 1;
+  }
+
   /** Closes a connection once its request in flight has ended. */
   retire(socket: Socket): void {
     const state = this.#states.get(socket);
@@ -137,6 +144,7 @@
   #assign(socket: Socket, request: ClientRequest): void {
     const state = this.#states.get(socket)!;
     state.busy = true;
+    state.requests++;
     state.idleMs = this.#options.idleMs;
     state.bytesAtProgress = socket.bytesRead;
     request.onSocket(socket);
@@ -152,6 +160,7 @@
       idleMs: this.#options.idleMs,
       idleSince: 0,
       busy: false,
+      requests: 0,
       retired: false,
       bytesAtProgress: 0,
     };
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -313,6 +313,9 @@
         const defect = metadata.defect ?? findMismatch({
           requestId: request.requestId,
           named: metadata.requestId,
+          notRun: metadata.notRun ?? false,
+          namesRequests: dialect.namesRequests,
+          reused: pool.wasUsedBefore(answer.socket),
         });
         if (defect) {
           started.release();
--- a/src/http/dialect.ts
+++ b/src/http/dialect.ts
@@ -43,6 +43,8 @@
 
 /** Converts between HTTP headers and the metadata of a backend request. */
 export interface BackendDialect {
+  /** Whether servers name in each answer the request that they answer. */
+  readonly namesRequests: boolean;
   /** Returns the headers that are sent to a backend server after the caller's. */
   requestHeaders(request: BackendRequest): HeaderList;
   /** Reads the metadata in the status and headers of a response. */
@@ -92,6 +94,8 @@
 
 /** The product's own headers towards backend servers. */
 export class DefaultBackendDialect implements BackendDialect {
+  readonly namesRequests = false;
+
   requestHeaders(request: BackendRequest): HeaderList {
     const headers: HeaderList = [
       [TIMEOUT_HEADER, String(Math.floor(request.timeLeftMs))],
--- a/tests/guard/endless_bodies_test.ts
+++ b/tests/guard/endless_bodies_test.ts
@@ -35,6 +35,7 @@
  * defective.
  */
 const dialect: BackendDialect = {
+  namesRequests: false,
   requestHeaders: () => [],
   readMetadata: ({ headers }) => ({
     notRun: headers.some(([name]) => name === "x-not-run"),
