Leave odd members out of the lists that nodes read

Tried here, on the members that control sends to nodes. Control took a member with any address and any number of slots. At nodes, an entry whose types are wrong made the whole view malformed, so that the node stopped following it without a log line; a negative number of slots would have made its server the best choice; a port out of range threw a RangeError from the client of backend servers, which the guard took for a reset, that is for a crash; an empty address of a replica threw out of the sync, which asked the same replica again. No process ended.

Change: member_defects.ts names what no member can have. A registration with a defect is refused with its reason; a view keeps its usable members, and the node logs each one left out. Connections check the address first and fail in their own error, as for a missing peer: frames, calls of control, backend servers. Addresses of replicas that cannot be connected to are left out, too. A service named like a property of every object no longer gets that property as settings.

The schema of commands is as it was, since it also reads what is in the log.

--- a/src/control/node_handlers.ts
+++ b/src/control/node_handlers.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import type { Archive } from "../account/archive.ts";
+import { StepError } from "../core/errors.ts";
 import type { Rpc } from "../rpc/rpc.ts";
 import type { LeaderCalls } from "./leader_calls.ts";
 import type { LeaseManager } from "./lease_manager.ts";
+import { findMemberDefect } from "./member_defects.ts";
 import {
   changeMethod,
   claimMethod,
@@ -64,10 +66,15 @@
 export function handleLeaderCalls(parts: NodeHandlerParts): void {
   const { rpc, calls, leases } = parts;
   rpc.handle(renewMethod, (request) => leases.renew(request.renewals));
-  rpc.handle(
-    registerMethod,
-    (request) => calls.propose({ kind: "register", ...request }),
-  );
+  rpc.handle(registerMethod, async (request) => {
+    const defect = findMemberDefect(request.member);
+    if (defect) {
+      throw new StepError("control.register", defect, {
+        peer: request.member.server,
+      });
+    }
+    return await calls.propose({ kind: "register", ...request });
+  });
   rpc.handle(
     leaveMethod,
     (request) => calls.propose({ kind: "expire", cause: "left", ...request }),
--- a/src/control/view.ts
+++ b/src/control/view.ts
@@ -10,7 +10,8 @@
   serviceSchema,
   siteSchema,
 } from "../settings/site.ts";
-import { memberSchema } from "./commands.ts";
+import { type Member, memberSchema } from "./commands.ts";
+import { findMemberDefect } from "./member_defects.ts";
 
 const limitsSchema = siteSchema.omit({ services: true, routes: true });
 
@@ -60,11 +61,34 @@
   service: z.string(),
   revision: z.number(),
   settings: serviceSchema.optional(),
-  members: z.array(memberSchema),
-});
-/** The view of one service; without `settings` the service was removed. */
+  members: z.array(z.unknown()),
+}).transform(({ members, ...part }) => ({ ...part, ...sortMembers(members) }));
+/**
+ * The view of one service; without `settings` the service was removed. `defects`
+ * says which entries of the list of members were left out, and why.
+ */
 export type ServiceView = z.infer<typeof serviceViewSchema>;
 
+/** Separates the usable members of a list from the defects of the others. */
+function sortMembers(
+  entries: readonly unknown[],
+): { members: Member[]; defects?: string[] } {
+  const members: Member[] = [];
+  const defects: string[] = [];
+  for (const entry of entries) {
+    const parsed = memberSchema.safeParse(entry);
+    const defect = parsed.success
+      ? findMemberDefect(parsed.data)
+      : z.prettifyError(parsed.error);
+    if (parsed.success && !defect) {
+      members.push(parsed.data);
+    } else {
+      defects.push(String(defect));
+    }
+  }
+  return defects.length > 0 ? { members, defects } : { members };
+}
+
 /** Revisions of the view that a node already has. */
 export const knownRevisionsSchema = z.object({
   /** Revision of the global part, 0 for none. */
--- a/src/control/view_since.ts
+++ b/src/control/view_since.ts
@@ -33,7 +33,10 @@
 
 function buildServiceView(service: string, sources: ViewSources): ServiceView {
   const { site, members, revisions } = sources;
-  const settings: Service | undefined = site?.services[service];
+  const settings: Service | undefined =
+    site && Object.hasOwn(site.services, service)
+      ? site.services[service]
+      : undefined;
   return {
     service,
     revision: revisions.service(service),
--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -11,6 +11,7 @@
 import { type BackendDialect, DefaultBackendDialect } from "../http/dialect.ts";
 import { parseRawHeaders } from "../http/raw_headers.ts";
 import { waitForDrain } from "../http/wait_for_drain.ts";
+import { isConnectable } from "../network/channel.ts";
 import { findMismatch } from "./answer_match.ts";
 import {
   type Backend,
@@ -293,6 +294,12 @@
 
     return {
       async send(request) {
+        if (!isConnectable(address)) {
+          throw new BackendError("connect", {
+            peer: address,
+            message: "not a host and a port",
+          });
+        }
         const started = startExchange(pool, {
           request,
           headers: headersFor(request),
--- a/src/http/local_api.ts
+++ b/src/http/local_api.ts
@@ -9,6 +9,7 @@
 import { errorFields, errorMessage } from "../core/errors.ts";
 import { parseJson } from "../core/json.ts";
 import type { Logger } from "../core/logger.ts";
+import { isAddress, isConnectable } from "../network/channel.ts";
 import type { Node } from "../node/node.ts";
 import { readLimitedBody } from "./body.ts";
 import {
@@ -24,7 +25,9 @@
 /** Body of a backend server's announcement. */
 export const announcementSchema = z.strictObject({
   service: z.string().min(1),
-  address: z.string().regex(/^[\d.]+:\d+$|^\[[\da-f:]+\]:\d+$/),
+  address: z.string().refine((text) => isAddress(text) && isConnectable(text), {
+    message: "an IP address and port, such as 10.0.0.1:7000",
+  }),
   boot: z.string().min(1).max(64),
   sequence: z.number().int().min(0),
   health_path: z.string().startsWith("/").default("/health"),
--- a/src/network/channel.ts
+++ b/src/network/channel.ts
@@ -2,6 +2,7 @@
  * Interfaces of the connections that carry frames between processes.
  * @module
  */
+import { isIP } from "node:net";
 import type { Frame } from "./frames.ts";
 
 /** A two-way connection that carries frames in order. */
@@ -52,6 +53,25 @@
   ): Promise<Listener>;
 }
 
+const MAX_PORT = 65_535;
+const HOST_AND_PORT = /^(\[[\da-f:.]+\]|[\w.-]{1,255}):\d{1,5}$/i;
+
+/** Whether a text is `ip:port`, with a port that a socket can have. */
+export function isAddress(text: string): boolean {
+  const { host, port } = splitAddress(text);
+  return isIP(host) !== 0 && Number.isInteger(port) && port >= 0 &&
+    port <= MAX_PORT;
+}
+
+/**
+ * Whether a text is an address that can be connected to: a host name or an IP
+ * address, and a port that is set.
+ */
+export function isConnectable(text: string): boolean {
+  const { port } = splitAddress(text);
+  return HOST_AND_PORT.test(text) && port > 0 && port <= MAX_PORT;
+}
+
 /** Splits `ip:port`; IPv6 addresses are in brackets. */
 export function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(":");
--- a/src/network/tcp.ts
+++ b/src/network/tcp.ts
@@ -8,6 +8,7 @@
 import { errorMessage, StepError, TimeoutError } from "../core/errors.ts";
 import {
   type Channel,
+  isConnectable,
   type Listener,
   type Network,
   splitAddress,
@@ -127,6 +128,12 @@
   address: string,
   { timeoutMs, lag }: { timeoutMs: number; lag: EventLoopLag },
 ): Promise<Channel> {
+  if (!isConnectable(address)) {
+    const error = new StepError("channel.connect", "not a host and a port", {
+      peer: address,
+    });
+    return Promise.reject(error);
+  }
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     const socket = connectSocket({ host, port });
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -16,7 +16,7 @@
   type Supervisor,
 } from "../core/tasks.ts";
 import type { Random } from "../core/random.ts";
-import type { Network } from "../network/channel.ts";
+import { isConnectable, type Network } from "../network/channel.ts";
 import type { Rpc } from "../rpc/rpc.ts";
 import { type Timer, withTimeout } from "../time/timer.ts";
 import type { ControlClient } from "./control_client.ts";
@@ -95,9 +95,19 @@
     return base * (0.9 + 0.2 * random.fraction());
   }
 
+  /** Logs the members that were left out of a view. */
+  function logDefects({ services }: View): void {
+    for (const { service, defects = [] } of services) {
+      defects.forEach((defect) =>
+        logger.warn("node.member_left_out", { service, defect })
+      );
+    }
+  }
+
   /** Unpacks a view; logs a malformed one, and asks another replica next. */
   function tryUnpack(view: View): View | undefined {
     try {
+      logDefects(view);
       return unpackView(view);
     } catch (error) {
       logger.warn("node.view_malformed", errorFields(error));
@@ -131,7 +141,7 @@
     if (!view) {
       return false;
     }
-    client.updateReplicas(reply.value.replicas);
+    client.updateReplicas(reply.value.replicas.filter(isConnectable));
     directory.setFleetSize(reply.value.fleetSize);
     if (leader) {
       client.updateLeader(leader);
@@ -181,7 +191,9 @@
         timeoutMs: PEER_SYNC_TIMEOUT_MS,
       });
       if (frame?.kind === "view") {
-        directory.apply(unpackView(viewSchema.parse(frame.view)));
+        const view = viewSchema.parse(frame.view);
+        logDefects(view);
+        directory.apply(unpackView(view));
       }
     } finally {
       channel.close();
--- a/src/rpc/grpc_rpc.ts
+++ b/src/rpc/grpc_rpc.ts
@@ -18,6 +18,7 @@
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
 import { errorMessage, StepError } from "../core/errors.ts";
+import { isConnectable } from "../network/channel.ts";
 import type { Call, Handler, Method, Rpc } from "./rpc.ts";
 
 const SERVICE_PATH = "/mustardcross.Control/";
@@ -72,6 +73,14 @@
 
   function call<Q, R>(call: Call<Q, R>): Promise<Result<R, StepError>> {
     const { peer, method, request, timeoutMs } = call;
+    if (!isConnectable(peer)) {
+      const error = new StepError(
+        `rpc.${method.name}`,
+        "not a host and a port",
+        { peer },
+      );
+      return Promise.resolve(err(error));
+    }
     return new Promise((resolve) => {
       clientFor(peer).makeUnaryRequest(
         SERVICE_PATH + method.name,
--- a/src/settings/process.ts
+++ b/src/settings/process.ts
@@ -2,17 +2,8 @@
  * Schema of the settings of a process.
  * @module
  */
-import { isIP } from "node:net";
 import { z } from "zod";
-import { splitAddress } from "../network/channel.ts";
-
-const MAX_PORT = 65_535;
-
-function isAddress(text: string): boolean {
-  const { host, port } = splitAddress(text);
-  const validPort = Number.isInteger(port) && port >= 0 && port <= MAX_PORT;
-  return isIP(host) !== 0 && validPort;
-}
+import { isAddress } from "../network/channel.ts";
 
 /** Schema of an IP address with a port. */
 export const addressSchema = z.string().refine(isAddress, {
