Split by weights whose sum is beyond any number

Cause: the sum of the weights is infinite. Weights are relative to the largest now.

src/node/prefix_table_test.ts, red before: a share of 0 for the first of two.

--- a/src/node/prefix_table.ts
+++ b/src/node/prefix_table.ts
@@ -59,13 +59,18 @@
   if (targets.length === 1) {
     return targets[0];
   }
-  const totalWeight = targets.reduce((sum, target) => sum + target.weight, 0);
-  if (totalWeight <= 0) {
+  const largest = Math.max(...targets.map((target) => target.weight));
+  if (largest <= 0) {
     return targets[Math.floor(randomFraction() * targets.length)];
   }
+  // Relative to the largest, the sum of the weights is a number as well.
+  const totalWeight = targets.reduce(
+    (sum, target) => sum + target.weight / largest,
+    0,
+  );
   let remaining = randomFraction() * totalWeight;
   for (const target of targets) {
-    remaining -= target.weight;
+    remaining -= target.weight / largest;
     if (remaining < 0) {
       return target;
     }
--- a/src/node/prefix_table_test.ts
+++ b/src/node/prefix_table_test.ts
@@ -56,3 +56,18 @@
   t.equal(counts.get("none"), undefined);
   t.end();
 });
+
+test("weights are kept however large they are", (t) => {
+  const random = createSeededRandom(1);
+  const targets = [
+    { service: "one", weight: 1.5e308 },
+    { service: "other", weight: 1.5e308 },
+  ];
+  const picked = Array.from(
+    { length: 1_000 },
+    () => pickTarget(targets, random.fraction).service,
+  );
+  const share = picked.filter((name) => name === "one").length / 1_000;
+  t.ok(share > 0.4 && share < 0.6, String(share));
+  t.end();
+});
