--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -8,6 +8,9 @@
 /** Upper bound on request timeouts, whatever a route or a caller asks for. */
 export const MAX_TIMEOUT_MS = 600_000;
 
+/** Most attempts that one request makes, whatever a route allows. */
+export const MAX_ATTEMPTS = 10;
+
 const ratio = z.number().min(0).max(1);
 const milliseconds = z.number().positive();
 const count = z.number().int().min(0);
@@ -34,7 +37,7 @@
     ),
   budget_reserve: z.number().min(0).optional()
     .describe("Retries and hedges that all nodes together hold in reserve"),
-  max_attempts: z.number().int().min(1).max(10).default(4)
+  max_attempts: z.number().int().min(1).max(MAX_ATTEMPTS).default(4)
     .describe("Attempts per request, including the first"),
   hedge_budget_ratio: ratio.default(0.05)
     .describe("Hedging budget per request"),
@@ -112,7 +115,7 @@
     .describe("Target latency"),
   rank: count.default(0)
     .describe("Priority under overload; 0 is the highest"),
-  max_attempts: z.number().int().min(1).max(10).optional()
+  max_attempts: z.number().int().min(1).max(MAX_ATTEMPTS).optional()
     .describe("Maximum backend servers that one request is sent to"),
   hedge: z.boolean().default(false)
     .describe("Whether slow attempts are hedged"),
