--- a/src/guard/http_backend_test.ts
+++ b/src/guard/http_backend_test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { test } from "tap";
-import { neverCancelled } from "../core/cancellation.ts";
-import { type Backend, BackendError, type BackendRequest } from "./backend.ts";
+import { type Backend, BackendError } from "./backend.ts";
+import { createFakeServerRequest, fetchBody } from "./fake_server_request.ts";
 import { createHttpBackend } from "./http_backend.ts";
 
 const HOST = "127.0.0.1";
@@ -27,34 +27,12 @@
   });
 }
 
-const REQUEST: BackendRequest = {
-  method: "GET",
-  path: "/",
-  headers: [["host", "a"]],
-  body: undefined,
-  requestId: "one",
-  caller: "",
-  instance: "",
-  timeLeftMs: 1_000,
-  signal: neverCancelled,
-};
-
-async function readBody(backend: Backend): Promise<string> {
-  const { body } = await backend.send(REQUEST);
-  if (body instanceof Uint8Array) {
-    return Buffer.from(body).toString();
-  }
-  const parts: Uint8Array[] = [];
-  for await (const part of body) {
-    parts.push(part);
-  }
-  return Buffer.concat(parts).toString();
-}
+const REQUEST = createFakeServerRequest();
 
 /** Returns the step at which reading an answer fails; empty if it succeeds. */
 async function readFailureStep(server: Server): Promise<string> {
   try {
-    await readBody(backendOf(server));
+    await fetchBody(backendOf(server));
     return "";
   } catch (error) {
     return error instanceof BackendError ? error.step : String(error);
@@ -66,7 +44,7 @@
     socket.end(`${HEAD_WITHOUT_LENGTH}whole`)
   );
   t.teardown(() => server.close());
-  t.equal(await readBody(backendOf(server)), "whole");
+  t.equal(await fetchBody(backendOf(server)), "whole");
 });
 
 test("an answer without content-length fails when its connection is reset", async (t) => {
@@ -104,7 +82,7 @@
       )
     );
     t.teardown(() => server.close());
-    t.equal(await readBody(backendOf(server)), "whole");
+    t.equal(await fetchBody(backendOf(server)), "whole");
   }
 });
 
@@ -124,9 +102,9 @@
   });
   t.teardown(() => server.close());
   const backend = backendOf(server);
-  t.equal(await readBody(backend), "whole");
+  t.equal(await fetchBody(backend), "whole");
   await new Promise((resolve) => setTimeout(resolve, 20));
-  t.equal(await readBody(backend), "whole");
+  t.equal(await fetchBody(backend), "whole");
   t.equal(connections, 2);
 });
 
@@ -149,7 +127,7 @@
   t.teardown(() => server.close());
   const backend = backendOf(server);
   const bodies = await Promise.all(
-    Array.from({ length: 8 }, () => readBody(backend)),
+    Array.from({ length: 8 }, () => fetchBody(backend)),
   );
   t.same(new Set(bodies), new Set(["whole"]));
   t.equal(maxOpen, 2);
--- a/src/network/odd_addresses_test.ts
+++ b/src/network/odd_addresses_test.ts
@@ -4,8 +4,8 @@
  */
 import { test } from "tap";
 import { statusMethod } from "../control/node_methods.ts";
-import { neverCancelled } from "../core/cancellation.ts";
-import { BackendError } from "../guard/backend.ts";
+import type { BackendError } from "../guard/backend.ts";
+import { createFakeServerRequest } from "../guard/fake_server_request.ts";
 import { createHttpBackend } from "../guard/http_backend.ts";
 import { createGrpcRpc } from "../rpc/grpc_rpc.ts";
 import { isConnectable } from "./channel.ts";
@@ -49,18 +49,9 @@
       connections: 1,
       connectTimeoutMs: TIMEOUT_MS,
     });
-    const failed: BackendError = await backend.send({
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: undefined,
-      requestId: "one",
-      caller: "",
-      instance: "",
-      timeLeftMs: TIMEOUT_MS,
-      signal: neverCancelled,
-    }).then(() => undefined, (error) => error);
-    t.equal(failed.failure, "connect", "which proves that nothing ran");
+    const failed = await backend.send(createFakeServerRequest())
+      .then(() => undefined, (error: BackendError) => error);
+    t.equal(failed?.failure, "connect", "which proves that nothing ran");
   });
 }
 
--- a/tests/guard/endless_heads_test.ts
+++ b/tests/guard/endless_heads_test.ts
@@ -4,12 +4,12 @@
  * so it must be closed after a limit in bytes, whatever the deadline is.
  */
 import { test } from "tap";
-import { neverCancelled } from "../../src/core/cancellation.ts";
+import type { Backend } from "../../src/guard/backend.ts";
 import {
-  type Backend,
-  BackendError,
-  type BackendRequest,
-} from "../../src/guard/backend.ts";
+  createFakeServerRequest,
+  fetchBody,
+  stepOr,
+} from "../../src/guard/fake_server_request.ts";
 import { createHttpBackend } from "../../src/guard/http_backend.ts";
 import { eventually } from "../processes.ts";
 import { type RawConnection, startRawServer } from "./raw_server.ts";
@@ -19,33 +19,9 @@
 const VALID_ANSWER =
   `${STATUS_LINE}content-length: 5\r\nkeep-alive: timeout=60\r\n\r\nsound`;
 
-const REQUEST: BackendRequest = {
-  method: "GET",
-  path: "/",
-  headers: [["host", "a"]],
-  body: undefined,
-  requestId: "one",
-  caller: "",
-  instance: "",
-  timeLeftMs: 1_000,
-  signal: neverCancelled,
-};
-
 /** Returns the body of the answer, or the step at which reading it fails. */
-async function readOutcome(backend: Backend): Promise<string> {
-  try {
-    const { body } = await backend.send(REQUEST);
-    if (body instanceof Uint8Array) {
-      return Buffer.from(body).toString();
-    }
-    const parts: Uint8Array[] = [];
-    for await (const part of body) {
-      parts.push(part);
-    }
-    return Buffer.concat(parts).toString();
-  } catch (error) {
-    return error instanceof BackendError ? error.step : String(error);
-  }
+function readOutcome(backend: Backend): Promise<string> {
+  return stepOr(fetchBody(backend));
 }
 
 /**
@@ -161,7 +137,7 @@
     )
   );
   t.teardown(server.close);
-  const { body } = await backend.send(REQUEST);
+  const { body } = await backend.send(createFakeServerRequest());
   const connection = server.connections[0];
   await eventually(
     "the server has written the whole answer",
--- a/tests/guard/endless_health_test.ts
+++ b/tests/guard/endless_health_test.ts
@@ -4,10 +4,7 @@
  * in bytes and in time, and its connection must be closed.
  */
 import { test } from "tap";
-import { silentLogger } from "../../src/core/logger.ts";
-import { createHttpBackend } from "../../src/guard/http_backend.ts";
-import { createServerLink } from "../../src/guard/server_link.ts";
-import { createFakeTimer } from "../../src/time/fake_timer.ts";
+import { createFakeServerLink } from "../../src/guard/fake_server_link.ts";
 import { eventually } from "../processes.ts";
 import { type RawConnection, startRawServer } from "./raw_server.ts";
 
@@ -16,27 +13,7 @@
 /** Starts a server and creates a link to it, in fake time. */
 async function startSetup(answer: (connection: RawConnection) => void) {
   const server = await startRawServer(answer);
-  const timer = createFakeTimer();
-  const link = createServerLink({
-    timer,
-    logger: silentLogger,
-    createBackend: createHttpBackend,
-    connections: () => 1,
-    healthPath: () => undefined,
-    onCold: () => {},
-    onLimit: () => {},
-    onLeaving: () => {},
-    onReport: () => {},
-  });
-  const announcement = {
-    service: "work",
-    address: server.address,
-    boot: "one",
-    sequence: 1,
-    healthPath: "/health",
-  };
-  link.announce(announcement);
-  return { server, timer, link, announcement };
+  return { server, ...createFakeServerLink(server.address) };
 }
 
 type TestSetup = Awaited<ReturnType<typeof startSetup>>;
--- a/tests/guard/truncated_heads_test.ts
+++ b/tests/guard/truncated_heads_test.ts
@@ -4,12 +4,15 @@
  * proves that the server is healthy.
  */
 import { test } from "tap";
-import { neverCancelled } from "../../src/core/cancellation.ts";
-import { silentLogger } from "../../src/core/logger.ts";
-import type { Backend, BackendAnswer } from "../../src/guard/backend.ts";
+import type { Backend } from "../../src/guard/backend.ts";
+import { createFakeServerLink } from "../../src/guard/fake_server_link.ts";
+import {
+  createFakeServerRequest,
+  fetchBody,
+  readChunks,
+  stepOr,
+} from "../../src/guard/fake_server_request.ts";
 import { createHttpBackend } from "../../src/guard/http_backend.ts";
-import { createServerLink } from "../../src/guard/server_link.ts";
-import { createFakeTimer } from "../../src/time/fake_timer.ts";
 import { startRawServer } from "./raw_server.ts";
 
 const LONG_VALUE = "a=b, ".repeat(4);
@@ -35,44 +38,26 @@
 /** Ways to read a body: in chunks, and in one piece if it is short. */
 type Reading = "chunks" | "whole";
 
-async function readBody(
-  body: BackendAnswer["body"],
-  reading: Reading,
-): Promise<string> {
-  if (body instanceof Uint8Array) {
-    return Buffer.from(body).toString();
-  }
-  if (reading === "whole" && body.readAll) {
-    return Buffer.from(await body.readAll()).toString();
-  }
-  const parts: Uint8Array[] = [];
-  for await (const part of body) {
-    parts.push(part);
-  }
-  return Buffer.concat(parts).toString();
-}
-
 /** Requests a path; returns the body, or the step at which that failed. */
-async function fetchFrom(
+function fetchFrom(
   backend: Backend,
   { path, reading }: { path: string; reading: Reading },
 ): Promise<string> {
-  try {
-    const { body } = await backend.send({
-      method: "GET",
-      path,
-      headers: [["host", "a"]],
-      body: undefined,
-      requestId: path,
-      caller: "",
-      instance: "",
-      timeLeftMs: 1_000,
-      signal: neverCancelled,
-    });
-    return await readBody(body, reading);
-  } catch (error) {
-    return (error as { step?: string }).step ?? String(error);
-  }
+  return stepOr(
+    reading === "whole"
+      ? fetchWhole(backend, path)
+      : fetchBody(backend, { path, requestId: path }),
+  );
+}
+
+/** Reads a body in one piece if it is short. */
+async function fetchWhole(backend: Backend, path: string): Promise<string> {
+  const request = createFakeServerRequest({ path, requestId: path });
+  const { body } = await backend.send(request);
+  const isWhole = !(body instanceof Uint8Array) && body.readAll;
+  return isWhole
+    ? Buffer.from(await body.readAll!()).toString()
+    : await readChunks(body);
 }
 
 /** Starts a server that writes the first bytes of a text and closes. */
@@ -131,24 +116,7 @@
     connection.end(UNFRAMED_HEAD.slice(0, length))
   );
   t.teardown(server.close);
-  const link = createServerLink({
-    timer: createFakeTimer(),
-    logger: silentLogger,
-    createBackend: createHttpBackend,
-    connections: () => 1,
-    healthPath: () => undefined,
-    onCold: () => {},
-    onLimit: () => {},
-    onLeaving: () => {},
-    onReport: () => {},
-  });
-  link.announce({
-    service: "work",
-    address: server.address,
-    boot: "one",
-    sequence: 1,
-    healthPath: "/health",
-  });
+  const { link } = createFakeServerLink(server.address);
   for (length = 0; length < UNFRAMED_HEAD.length; length++) {
     t.notOk(await link.probe(), `cut after ${length} bytes`);
   }
--- a/tests/platform/late_health_answers_test.ts
+++ b/tests/platform/late_health_answers_test.ts
@@ -4,9 +4,7 @@
  * the answer states would be applied.
  */
 import { test } from "tap";
-import { silentLogger } from "../../src/core/logger.ts";
-import { createServerLink } from "../../src/guard/server_link.ts";
-import { createFakeTimer } from "../../src/time/fake_timer.ts";
+import { createFakeServerLink } from "../../src/guard/fake_server_link.ts";
 import {
   createPlatformBackend,
   type RawAnswer,
@@ -25,23 +23,9 @@
     const { server } = await startAnswers([HEALTHY, { ...SERVED, lines }]);
     t.teardown(server.close);
     const coldMs: number[] = [];
-    const link = createServerLink({
-      timer: createFakeTimer(),
-      logger: silentLogger,
+    const { link } = createFakeServerLink(server.address, {
       createBackend: createPlatformBackend,
-      connections: () => 1,
-      healthPath: () => "/health",
       onCold: (ms) => coldMs.push(ms),
-      onLimit: () => {},
-      onLeaving: () => {},
-      onReport: () => {},
-    });
-    link.announce({
-      service: "work",
-      address: server.address,
-      boot: "b",
-      sequence: 1,
-      healthPath: "/health",
     });
     t.ok(await link.probe());
     coldMs.length = 0;
--- a/tests/platform/raw_answers.ts
+++ b/tests/platform/raw_answers.ts
@@ -4,8 +4,12 @@
  * @module
  */
 import { PlatformBackendDialect } from "../../platform/dialects.ts";
-import { neverCancelled } from "../../src/core/cancellation.ts";
 import type { Backend } from "../../src/guard/backend.ts";
+import {
+  createFakeServerRequest,
+  readChunks,
+  stepOr,
+} from "../../src/guard/fake_server_request.ts";
 import { createHttpBackendFactory } from "../../src/guard/http_backend.ts";
 import { type RawServer, startRawServer } from "../guard/raw_server.ts";
 
@@ -59,23 +63,15 @@
   backend: Backend,
   requestId: string,
 ): Promise<number | string> {
-  try {
-    const { status, body } = await backend.send({
-      method: "GET",
-      path: "/",
-      headers: [["host", "a"]],
-      body: undefined,
-      requestId,
-      caller: "",
-      instance: "",
-      timeLeftMs: 1_000,
-      signal: neverCancelled,
-    });
-    if (!(body instanceof Uint8Array)) {
-      await body.readAll?.();
-    }
-    return status;
-  } catch (error) {
-    return (error as { step?: string }).step ?? String(error);
-  }
+  return await stepOr(fetchStatus(backend, requestId));
+}
+
+async function fetchStatus(
+  backend: Backend,
+  requestId: string,
+): Promise<number> {
+  const request = createFakeServerRequest({ requestId });
+  const { status, body } = await backend.send(request);
+  await readChunks(body);
+  return status;
 }
