Leave unreadable events out of a node's sync

Change: a replica stores the readable events of a sync, answers it, and logs control.event_left_out for each of the others.

tests/control/odd_events_test.ts, red before (the sync failed).

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -123,6 +123,7 @@
     calls,
     leases,
     archive,
+    logger,
   };
 
   /** Writes the recorded events, and records an event when the role changes. */
--- a/src/control/node_handlers.ts
+++ b/src/control/node_handlers.ts
@@ -3,8 +3,11 @@
  * leader.
  * @module
  */
+import { z } from "zod";
 import type { Archive } from "../account/archive.ts";
+import { type Event, eventSchema } from "../account/events.ts";
 import { StepError } from "../core/errors.ts";
+import type { Logger } from "../core/logger.ts";
 import type { Rpc } from "../rpc/rpc.ts";
 import type { LeaderCalls } from "./leader_calls.ts";
 import type { LeaseManager } from "./lease_manager.ts";
@@ -31,6 +34,7 @@
   calls: LeaderCalls;
   leases: LeaseManager;
   archive: Archive;
+  logger: Logger;
 }
 
 /**
@@ -38,14 +42,28 @@
  * has confirmed them.
  */
 export function handleSyncs(parts: NodeHandlerParts): void {
-  const { rpc, state, replica, calls, leases, archive } = parts;
+  const { rpc, state, replica, calls, leases, archive, logger } = parts;
+
+  /** Returns the events of a node that can be read, and logs the others. */
+  function readEvents(node: string, entries: readonly unknown[]): Event[] {
+    return entries.flatMap((entry) => {
+      const parsed = eventSchema.safeParse(entry);
+      if (parsed.success) {
+        return [parsed.data];
+      }
+      const defect = z.prettifyError(parsed.error);
+      logger.warn("control.event_left_out", { node, defect });
+      return [];
+    });
+  }
+
   const packer = createRoutePacker();
   rpc.handle(syncMethod, async (request) => {
     const { known, renewal, confirm, events } = request;
     if (renewal) {
       leases.queueRenewal(renewal);
     }
-    void archive.add(events);
+    void archive.add(readEvents(request.node, events));
     const confirmed = confirm ? await calls.confirmRead() : false;
     return {
       confirmed,
--- a/src/control/node_methods.ts
+++ b/src/control/node_methods.ts
@@ -59,7 +59,8 @@
     known: knownRevisionsSchema,
     confirm: z.boolean(),
     renewal: renewalSchema.optional(),
-    events: z.array(eventSchema),
+    /** Events; those that cannot be read are left out by the replica. */
+    events: z.array(z.unknown()),
   }),
   reply: z.object({
     confirmed: z.boolean(),
