Believe a running server that says it is not cold

Cause: a restarted guard assumes the cold start that the settings name. The server's next announcement, within 1.5 s, says that it stays cold for 0 ms, and that was dropped: `next.coldMs &&` takes 0 for "nothing said".

Change: an announcement of 0 ends a cold start that is only assumed. It does not end one that the server has reported, since announcements may come late: the answer to the health check that follows each start and each return of a failure domain is newer.

--- a/src/guard/cold_rate.ts
+++ b/src/guard/cold_rate.ts
@@ -29,6 +29,8 @@
   unknownUntil = -Infinity,
 ): Warmup {
   let coldUntil = Infinity;
+  /** Whether the server counts as cold without having said so. */
+  let isAssumed = true;
   /** Start times of the requests of the last second. */
   let starts: number[] = [];
 
@@ -70,9 +72,14 @@
     complete: () => false,
     reset() {
       coldUntil = timer.now() + limits().coldMs;
+      isAssumed = true;
     },
     noteCold(coldMs) {
-      coldUntil = timer.now() + coldMs;
+      // An announcement may be older than the report that the server is cold.
+      if (coldMs > 0 || isAssumed) {
+        coldUntil = timer.now() + coldMs;
+        isAssumed = false;
+      }
     },
   };
 }
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -648,7 +648,7 @@
         crashes.sawResets;
       const result = link.announce(next);
       if (result !== "new") {
-        if (result === "renewed" && next.coldMs) {
+        if (result === "renewed" && next.coldMs !== undefined) {
           rates.noteCold(next.coldMs);
         }
         return result;
--- a/tests/scenario/small_world.ts
+++ b/tests/scenario/small_world.ts
@@ -20,6 +20,8 @@
   queueWaitMs?: number;
   /** Requests per second for a cold server; by default a ramp limits them. */
   coldRatePerS?: number;
+  /** Time for which a server with such a rate counts as cold; 1 by default. */
+  coldMs?: number;
   /** Event loop lag of all nodes; none by default. */
   lag?: EventLoopLag;
   /** Whether the servers' answers report their load. */
@@ -46,7 +48,7 @@
           team: "work",
           queue_wait_ms: options.queueWaitMs,
           cold_rate_per_s: options.coldRatePerS,
-          cold_ms: options.coldRatePerS && 1,
+          cold_ms: options.coldRatePerS && (options.coldMs ?? 1),
           slots: options.coldRatePerS && SLOTS,
           routes: {
             look: {
