Refuse retries before first tries while throttling

Cause: the throttle let pass 0.75 late requests for each accepted one beside 1.25 others, at random, so that first tries within the capacity were refused.

Change: requests that can no longer meet their objective get only what the others leave. One ratio, 1.25, holds for both together.

client_retries_test.ts passes again (529 of 533). src/ingress/throttle_test.ts: of 500 first tries beside three times as many retries 500 pass, of the retries 120 of 1,500.

--- a/src/ingress/throttle.ts
+++ b/src/ingress/throttle.ts
@@ -9,7 +9,7 @@
  */
 import type { Timer } from "../time/timer.ts";
 
-/** How a request ended that guards were asked to run. */
+/** Whether guards had capacity for a request that they were asked to run. */
 export type RequestEnd = "accepted" | "refused";
 
 /** Throttles the requests of an ingress. */
@@ -32,8 +32,10 @@
 
 /** Recent requests of a class; older ones count less. */
 interface Counts {
-  /** Requests that came, whether they were refused here or not. */
-  offered: number;
+  /** Requests that came in time, whether they were refused here or not. */
+  timely: number;
+  /** Requests that came too late for their objective, refused or not. */
+  late: number;
   accepted: number;
   /** Requests that guards refused. */
   refused: number;
@@ -46,8 +48,6 @@
 const HALF_LIFE_MS = 500;
 /** Requests that are let through for each accepted one. */
 const SENT_PER_ACCEPTED = 1.25;
-/** The same for requests that can no longer meet their objective. */
-const LATE_SENT_PER_ACCEPTED = 0.75;
 /** Age from which a refusal by a guard no longer shows an overload. */
 const MAX_EVIDENCE_AGE_MS = 500;
 /** Refusals for each accepted request up to which nothing is refused here. */
@@ -56,6 +56,16 @@
 const MIN_REQUESTS = 5;
 const MAX_CLASSES = 1_000;
 
+/**
+ * Returns which share of the timely or of the late requests may be sent. Late
+ * ones get what the others leave.
+ */
+function sendableShare(counts: Counts, isLate: boolean): number {
+  const { timely, late, accepted } = counts;
+  const sendable = Math.max(MIN_REQUESTS, SENT_PER_ACCEPTED * accepted);
+  return isLate ? (sendable - timely) / late : sendable / timely;
+}
+
 /** Creates a throttle that refuses nothing yet. */
 export function createThrottle(options: ThrottleOptions): Throttle {
   const { timer, randomFraction } = options;
@@ -65,7 +75,8 @@
   function countsOf(className: string): Counts | undefined {
     const now = timer.now();
     const counts = classes.get(className) ?? {
-      offered: 0,
+      timely: 0,
+      late: 0,
       accepted: 0,
       refused: 0,
       refusedAt: -Infinity,
@@ -76,29 +87,28 @@
     }
     classes.set(className, counts);
     const weight = 0.5 ** ((now - counts.updatedAt) / HALF_LIFE_MS);
-    counts.offered *= weight;
+    counts.timely *= weight;
+    counts.late *= weight;
     counts.accepted *= weight;
     counts.refused *= weight;
     counts.updatedAt = now;
     return counts;
   }
 
+  function isOverloaded({ accepted, refused, refusedAt }: Counts): boolean {
+    return refused > TOLERATED_REFUSALS * accepted &&
+      timer.now() - refusedAt < MAX_EVIDENCE_AGE_MS;
+  }
+
   return {
     refuses(className, isLate) {
       const counts = countsOf(className);
       if (!counts) {
         return false;
       }
-      counts.offered++;
-      const { offered, accepted, refused, refusedAt } = counts;
-      const isOverloaded = refused > TOLERATED_REFUSALS * accepted &&
-        timer.now() - refusedAt < MAX_EVIDENCE_AGE_MS;
-      if (!isOverloaded) {
-        return false;
-      }
-      const perAccepted = isLate ? LATE_SENT_PER_ACCEPTED : SENT_PER_ACCEPTED;
-      const sendable = Math.max(MIN_REQUESTS, perAccepted * accepted);
-      return randomFraction() < (offered - sendable) / offered;
+      counts[isLate ? "late" : "timely"]++;
+      return isOverloaded(counts) &&
+        randomFraction() >= sendableShare(counts, isLate);
     },
     record(className, end) {
       const counts = countsOf(className);
--- a/src/ingress/throttle_test.ts
+++ b/src/ingress/throttle_test.ts
@@ -103,18 +103,24 @@
 });
 
 test("requests that can no longer meet their objective are refused first", async (t) => {
-  const counts: Totals[] = [];
-  for (const isLate of [false, true]) {
-    const replay = createReplay();
-    await replay({ seconds: 3, offeredPerS: 200, capacityPerS: 100 });
-    counts.push(
-      await replay({
-        seconds: 1,
-        offeredPerS: 200,
-        capacityPerS: 100,
-        isLate,
-      }),
+  const timer = createFakeTimer();
+  const { fraction } = createSeededRandom(1);
+  const throttle = createThrottle({ timer, randomFraction: fraction });
+  const sent = { timely: 0, late: 0 };
+  const CAPACITY_PER_STEP = 1;
+  const STEPS = 500;
+  for (let step = 0; step < STEPS; step++) {
+    await timer.advance(STEP_MS);
+    const wanted = ["timely", "late", "late", "late"] as const;
+    const passed = wanted.filter((one) =>
+      !throttle.refuses(CLASS, one === "late")
     );
+    passed.forEach((one, index) => {
+      sent[one]++;
+      const hasRoom = index < CAPACITY_PER_STEP;
+      throttle.record(CLASS, hasRoom ? "accepted" : "refused");
+    });
   }
-  t.ok(counts[1].sent < 0.9 * counts[0].sent);
+  t.ok(sent.timely >= 0.98 * STEPS, `${sent.timely} of ${STEPS} in time`);
+  t.ok(sent.late < 0.4 * STEPS, `${sent.late} of ${3 * STEPS} late ones`);
 });
