Count requests that servers refuse as accepted by guards

Cause: the throttle compared what came with what was answered. Requests that a server refuses or loses had a slot, but counted as if there had been none.

Change: throttled_dispatch.ts reads from a reply what it says of the fleet's capacity; time-outs and refusals for other reasons say nothing. It has left dispatch.ts, and the causes of refusals are grouped in one place.

--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -19,8 +19,10 @@
 import { notRunReply, type Reply, timeoutReply, unknownReply } from "./call.ts";
 import { createHedger, discard } from "./hedge.ts";
 import type { IngressParts, RoutedCall } from "./ingress.ts";
+import { isQueueRefusal } from "./refusal_causes.ts";
 import { createSearch } from "./search.ts";
 import { createThrottle } from "./throttle.ts";
+import { throttleDispatch } from "./throttled_dispatch.ts";
 
 /** Options of {@link createDispatcher}, shared by all requests. */
 export interface DispatcherOptions {
@@ -34,12 +36,8 @@
   run(routed: RoutedCall): Promise<Reply>;
 }
 
-/** Causes with which a guard refuses a request for lack of capacity. */
-const QUEUE_REFUSALS = new Set<string>(["overloaded", "cold", "no_connection"]);
 /** Largest random share that is added to the retry-after time. */
 const RETRY_AFTER_JITTER = 0.5;
-/** Time after which a request comes back that no guard was asked to run. */
-const THROTTLED_RETRY_AFTER_MS = 400;
 /** Wait in a guard's queue after which no other guard is tried. */
 const LONG_WAIT_MS = 30;
 
@@ -53,7 +51,7 @@
   end: AttemptEnd,
   { waitedMs, wasLast }: { waitedMs: number; wasLast: boolean },
 ): boolean {
-  return end.kind === "not_run" && QUEUE_REFUSALS.has(end.cause) &&
+  return end.kind === "not_run" && isQueueRefusal(end.cause) &&
     (wasLast || waitedMs > LONG_WAIT_MS);
 }
 
@@ -62,11 +60,6 @@
   return cause === "quarantined" || cause === "no_time" ? cause : "overloaded";
 }
 
-/** Whether a request was refused since no server had room for it in time. */
-function isForCapacity({ reason }: Reply): boolean {
-  return QUEUE_REFUSALS.has(reason) || isTurnedAway(reason);
-}
-
 /** Creates a dispatcher. */
 export function createDispatcher(
   parts: IngressParts,
@@ -130,26 +123,6 @@
     return failed && routed.settings.repeatable && retry.take();
   }
 
-  /** Runs a request, unless too many of its class are refused at present. */
-  async function runThrottled(routed: RoutedCall): Promise<Reply> {
-    const { class: className } = routed.settings;
-    const isLate = routed.objectiveAt !== undefined &&
-      routed.objectiveAt < timer.now();
-    if (throttle.refuses(className, isLate)) {
-      metrics.count("throttled");
-      const retryAfterMs = addJitter(THROTTLED_RETRY_AFTER_MS);
-      const reply = notRunReply("overloaded", { attempts: 0, retryAfterMs });
-      return { ...reply, reason: "throttled" };
-    }
-    const reply = await run(routed);
-    if (reply.outcome === "ran") {
-      throttle.record(className, "accepted");
-    } else if (reply.outcome === "not_run" && isForCapacity(reply)) {
-      throttle.record(className, "refused");
-    }
-    return reply;
-  }
-
   async function run(routed: RoutedCall): Promise<Reply> {
     const { call, route, deadlineAt } = routed;
     const { stream, started } = observeStream(routed);
@@ -285,5 +258,5 @@
     };
   }
 
-  return { run: runThrottled };
+  return throttleDispatch({ run }, { throttle, timer, metrics, addJitter });
 }
