Throttle each workspace's requests by themselves

What callers saw: nothing yet.

Cause: the throttle counted by class. It counts by workspace and class now, and forgets the kinds used longest ago.

--- a/src/ingress/throttle.ts
+++ b/src/ingress/throttle.ts
@@ -1,6 +1,7 @@
 /**
- * Adaptive throttling: an ingress refuses a part of a class's requests itself,
- * before it asks any guard, while guards refuse many of them.
+ * Adaptive throttling: an ingress refuses a part of the requests of a kind itself,
+ * before it asks any guard, while guards refuse many of them. Requests of one
+ * workspace and class are of one kind, so that no workspace pays for another.
  *
  * The load that this answers: more requests than the fleet can run. Each of them
  * would ask several guards before it is refused, and its caller sends it again,
@@ -18,9 +19,9 @@
    * Counts a request, and decides whether it is refused without asking a guard.
    * `isLate` says that it can no longer meet its latency objective.
    */
-  refuses(className: string, isLate: boolean): boolean;
+  refuses(kind: string, isLate: boolean): boolean;
   /** Records how a request ended that was not refused. */
-  record(className: string, end: RequestEnd): void;
+  record(kind: string, end: RequestEnd): void;
 }
 
 /** Options of {@link createThrottle}. */
@@ -30,7 +31,7 @@
   randomFraction: () => number;
 }
 
-/** Recent requests of a class; older ones count less. */
+/** Recent requests of a kind; older ones count less. */
 interface Counts {
   /** Requests that came in time, whether they were refused here or not. */
   timely: number;
@@ -52,9 +53,9 @@
 const MAX_EVIDENCE_AGE_MS = 500;
 /** Refusals for each accepted request up to which nothing is refused here. */
 const TOLERATED_REFUSALS = 0.1;
-/** Requests of a class that are always let through. */
+/** Requests of a kind that are always let through. */
 const MIN_REQUESTS = 5;
-const MAX_CLASSES = 1_000;
+const MAX_KINDS = 1_000;
 
 /**
  * Returns which share of the timely or of the late requests may be sent. Late
@@ -69,23 +70,29 @@
 /** Creates a throttle that refuses nothing yet. */
 export function createThrottle(options: ThrottleOptions): Throttle {
   const { timer, randomFraction } = options;
-  const classes = new Map<string, Counts>();
+  /** Counts by kind, the ones used last at the end. */
+  const kinds = new Map<string, Counts>();
 
-  /** Returns the counts of a class, decayed to now. */
-  function countsOf(className: string): Counts | undefined {
-    const now = timer.now();
-    const counts = classes.get(className) ?? {
+  function createCounts(): Counts {
+    return {
       timely: 0,
       late: 0,
       accepted: 0,
       refused: 0,
       refusedAt: -Infinity,
-      updatedAt: now,
+      updatedAt: timer.now(),
     };
-    if (!classes.has(className) && classes.size >= MAX_CLASSES) {
-      return undefined;
+  }
+
+  /** Returns the counts of a kind, decayed to now. */
+  function countsOf(kind: string): Counts {
+    const counts = kinds.get(kind) ?? createCounts();
+    kinds.delete(kind);
+    kinds.set(kind, counts);
+    if (kinds.size > MAX_KINDS) {
+      kinds.delete(kinds.keys().next().value!);
     }
-    classes.set(className, counts);
+    const now = timer.now();
     const weight = 0.5 ** ((now - counts.updatedAt) / HALF_LIFE_MS);
     counts.timely *= weight;
     counts.late *= weight;
@@ -101,20 +108,14 @@
   }
 
   return {
-    refuses(className, isLate) {
-      const counts = countsOf(className);
-      if (!counts) {
-        return false;
-      }
+    refuses(kind, isLate) {
+      const counts = countsOf(kind);
       counts[isLate ? "late" : "timely"]++;
       return isOverloaded(counts) &&
         randomFraction() >= sendableShare(counts, isLate);
     },
-    record(className, end) {
-      const counts = countsOf(className);
-      if (!counts) {
-        return;
-      }
+    record(kind, end) {
+      const counts = countsOf(kind);
       counts[end]++;
       if (end === "refused") {
         counts.refusedAt = timer.now();
--- a/src/ingress/throttle_test.ts
+++ b/src/ingress/throttle_test.ts
@@ -124,3 +124,16 @@
   t.ok(sent.timely >= 0.98 * STEPS, `${sent.timely} of ${STEPS} in time`);
   t.ok(sent.late < 0.4 * STEPS, `${sent.late} of ${3 * STEPS} late ones`);
 });
+
+test("a kind of request does not pay for the refusals of another", async (t) => {
+  const timer = createFakeTimer();
+  const throttle = createThrottle({ timer, randomFraction: () => 0 });
+  for (let count = 0; count < 100; count++) {
+    await timer.advance(STEP_MS);
+    throttle.refuses("flood", false);
+    throttle.record("flood", "refused");
+    t.notOk(throttle.refuses("other", false));
+    throttle.record("other", "accepted");
+  }
+  t.ok(throttle.refuses("flood", true));
+});
--- a/src/ingress/throttled_dispatch.ts
+++ b/src/ingress/throttled_dispatch.ts
@@ -55,15 +55,15 @@
 
   return {
     async run(routed: RoutedCall) {
-      const { class: className } = routed.settings;
-      const { objectiveAt = Infinity } = routed;
-      if (throttle.refuses(className, objectiveAt < timer.now())) {
+      const { objectiveAt = Infinity, workspace, settings } = routed;
+      const kind = `${workspace} ${settings.class}`;
+      if (throttle.refuses(kind, objectiveAt < timer.now())) {
         return refuse();
       }
       const reply = await dispatcher.run(routed);
       const end = readCapacity(reply);
       if (end) {
-        throttle.record(className, end);
+        throttle.record(kind, end);
       }
       return reply;
     },
--- a/src/ingress/throttled_dispatch_test.ts
+++ b/src/ingress/throttled_dispatch_test.ts
@@ -9,7 +9,10 @@
 import { createThrottle } from "./throttle.ts";
 import { throttleDispatch } from "./throttled_dispatch.ts";
 
-const ROUTED = { settings: { class: "look" } } as RoutedCall;
+const ROUTED = {
+  workspace: "default",
+  settings: { class: "look" },
+} as RoutedCall;
 const RAN: Reply = { ...unknownReply("", 1), status: 200, outcome: "ran" };
 const REQUESTS = 2_000;
 const REQUESTS_PER_S = 100;
