--- a/src/control/member_defects.ts
+++ b/src/control/member_defects.ts
@@ -16,20 +16,27 @@
   return text.length > 0 && text.length <= MAX_NAME_LENGTH;
 }
 
+/** Returns why an address cannot be connected to, if it cannot. */
+function findAddressDefect(
+  field: string,
+  address: string,
+): string | undefined {
+  return isConnectable(address)
+    ? undefined
+    : `${field} ${JSON.stringify(address)}, expected a host and a port`;
+}
+
 /** Returns why no backend server can have registered a member, if none can. */
 export function findMemberDefect(member: Member): string | undefined {
   const { server, service, domain, address, slots, backend } = member;
   if (![server, service, domain].every(isName)) {
     return "a server, service or failure domain without a usable name";
   }
-  if (!isConnectable(address)) {
-    return `address ${JSON.stringify(address)}, expected a host and a port`;
-  }
-  if (backend && !isConnectable(backend.address)) {
-    return `backend address ${
-      JSON.stringify(backend.address)
-    }, expected a host and a port`;
+  const addressDefect = findAddressDefect("address", address) ??
+    (backend && findAddressDefect("backend address", backend.address));
+  if (addressDefect) {
+    return addressDefect;
   }
-  const validSlots = Number.isInteger(slots) && slots > 0 && slots <= MAX_SLOTS;
-  return validSlots ? undefined : `${slots} slots, of at most ${MAX_SLOTS}`;
+  const hasSlots = Number.isInteger(slots) && slots > 0 && slots <= MAX_SLOTS;
+  return hasSlots ? undefined : `${slots} slots, of at most ${MAX_SLOTS}`;
 }
