--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -5,10 +5,12 @@
  */
 import type { Member } from "../control/commands.ts";
 import type { Cancellation } from "../core/cancellation.ts";
+import { MEDIAN } from "../metrics/metrics.ts";
 import type { AttemptId, FenceState } from "../network/frames.ts";
 import type { Reply } from "./call.ts";
 import type { ExchangeEnd, ReceivedAnswer } from "./exchange_end.ts";
-import type { IngressParts, RoutedCall } from "./ingress.ts";
+import type { IngressParts } from "./parts.ts";
+import type { RoutedCall } from "./routed_call.ts";
 
 /** End of an attempt that provably did not run. */
 export interface NotRun {
@@ -32,8 +34,6 @@
 
 /** Lowest HTTP status that reports a server error. */
 export const FIRST_SERVER_ERROR = 500;
-/** Quantile used as the usual latency of a request class. */
-export const MEDIAN = 0.5;
 /**
  * Time for which an attempt is awaited beyond its deadline, so that a guard
  * that ends it at the deadline can still report the cause.
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -17,8 +17,10 @@
 } from "./attempt.ts";
 import type { ServiceBudgets } from "./budget.ts";
 import { notRunReply, type Reply, timeoutReply, unknownReply } from "./call.ts";
+import type { Dispatcher } from "./dispatcher.ts";
 import { createHedger, discard } from "./hedge.ts";
-import type { IngressParts, RoutedCall } from "./ingress.ts";
+import type { IngressParts } from "./parts.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { isQueueRefusal } from "./refusal_causes.ts";
 import { createSearch } from "./search.ts";
 import { createThrottle } from "./throttle.ts";
@@ -31,11 +33,6 @@
   nextOrder: () => number;
 }
 
-/** Dispatches requests that have no idempotency key. */
-export interface Dispatcher {
-  run(routed: RoutedCall): Promise<Reply>;
-}
-
 /** Largest random share that is added to the retry-after time. */
 const RETRY_AFTER_JITTER = 0.5;
 /** Wait in a guard's queue after which no other guard is tried. */
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -5,15 +5,12 @@
  */
 import type { Member } from "../control/commands.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
+import { MEDIAN } from "../metrics/metrics.ts";
 import type { AttemptId } from "../network/frames.ts";
-import {
-  attemptAt,
-  type AttemptEnd,
-  FIRST_SERVER_ERROR,
-  MEDIAN,
-} from "./attempt.ts";
+import { attemptAt, type AttemptEnd, FIRST_SERVER_ERROR } from "./attempt.ts";
 import type { ServiceBudgets } from "./budget.ts";
-import type { IngressParts, RoutedCall } from "./ingress.ts";
+import type { IngressParts } from "./parts.ts";
+import type { RoutedCall } from "./routed_call.ts";
 
 /** The first attempt, and what limits a second one. */
 export interface FirstAttempt {
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -4,112 +4,22 @@
  * process, which saves a hop.
  * @module
  */
-import type { Recorder } from "../account/events.ts";
 import { createPolicy } from "../choosing/mod.ts";
-import type { Claim, ClaimResult, Member } from "../control/commands.ts";
 import { headerValue, IDEMPOTENCY_KEY_HEADER } from "../core/headers.ts";
-import type { Logger } from "../core/logger.ts";
-import type { Random } from "../core/random.ts";
 import { createRequestLog } from "../core/request_log.ts";
-import type { Metrics } from "../metrics/metrics.ts";
-import type { Attempt, Outcome } from "../network/frames.ts";
-import type { Directory, RouteMatch } from "../node/directory.ts";
-import type { EventLoopLag } from "../time/event_loop_lag.ts";
-import type { Timer } from "../time/timer.ts";
-import {
-  MAX_TIMEOUT_MS,
-  type RoutePolicy,
-  type Service,
-} from "../settings/site.ts";
-import { type AnswerSizes, createAnswerSizes } from "./answer_sizes.ts";
+import type { Attempt } from "../network/frames.ts";
+import { MAX_TIMEOUT_MS, type RoutePolicy } from "../settings/site.ts";
+import { createAnswerSizes } from "./answer_sizes.ts";
 import { createServiceBudgets } from "./budget.ts";
 import { type Call, notRunReply, type Reply, unknownReply } from "./call.ts";
 import { createDispatcher } from "./dispatch.ts";
-import type { Exchanger } from "./exchange.ts";
 import { createHints, type Hints } from "./hints.ts";
 import { createKeyedCalls } from "./keyed_calls.ts";
-import { createPlacement, type Placement } from "./placement.ts";
+import type { FrameOptions, IngressOptions, IngressParts } from "./parts.ts";
+import { createPlacement } from "./placement.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { createSpentTime } from "./spent_time.ts";
 
-/** Commits claims through control's quorum. */
-export interface ClaimService {
-  /**
-   * Claims a key. If the result is `unavailable`, no quorum answered in time,
-   * and the request must not be dispatched.
-   */
-  claim(
-    claim: Omit<Claim, "kind">,
-    deadlineAt: number,
-  ): Promise<ClaimResult | { kind: "unavailable" }>;
-  /** Records how a claimed attempt ended, without awaiting the commit. */
-  settle(settlement: Settlement): void;
-}
-
-/** How a claimed attempt ended. */
-export interface Settlement {
-  key: string;
-  claim: number;
-  outcome: Outcome;
-}
-
-/** Options of {@link createIngress}. */
-export interface IngressOptions {
-  vm: string;
-  domain: string;
-  /** Peer address of this node; empty if it accepts no channels. */
-  peerAddress: string;
-  /** Returns the service on the VM of the ingress; empty if there is none. */
-  caller: () => string;
-  /** Incarnation of this ingress, which changes with each restart. */
-  incarnation: string;
-  directory: Directory;
-  exchanger: Exchanger;
-  claims: ClaimService;
-  /** Subscribes to a service, and resolves once its view has been fetched. */
-  subscribe: (service: string) => Promise<void>;
-  /** Called when a guard reports a newer configuration version. */
-  onNewerVersion: (version: number, peer: string) => void;
-  timer: Timer;
-  lag: EventLoopLag;
-  random: Random;
-  metrics: Metrics;
-  recorder: Recorder;
-  logger: Logger;
-  /** Name of the policy that chooses backend servers. */
-  policy?: string;
-  /** Returns whether the server on this VM can start a request immediately. */
-  canStartLocally?: (service: string) => boolean;
-}
-
-/** A request with its route and the settings of the route. */
-export interface RoutedCall {
-  call: Call;
-  route: RouteMatch;
-  settings: RoutePolicy;
-  service: Service;
-  workspace: string;
-  startedAt: number;
-  deadlineAt: number;
-  /** Monotonic time of the latency objective, if the route has one. */
-  objectiveAt: number | undefined;
-}
-
-/** Components of an ingress that its modules share. */
-export interface IngressParts extends IngressOptions, Placement {
-  hints: Hints;
-  sizes: AnswerSizes;
-  attemptFrame(routed: RoutedCall, options: FrameOptions): Attempt;
-}
-
-/** Properties in which the attempts of a request differ. */
-export interface FrameOptions {
-  member: Member;
-  attempt: Attempt["attempt"];
-  suspect: boolean;
-  /** Whether the guard may turn the request away to another server. */
-  elsewhere: boolean;
-}
-
 /** Accepts callers' requests. */
 export interface Ingress {
   /** Handles a request. Never rejects. */
--- a/src/ingress/keyed_calls.ts
+++ b/src/ingress/keyed_calls.ts
@@ -15,7 +15,8 @@
   unknownReply,
 } from "./call.ts";
 import { attemptAt, type AttemptEnd, createReply } from "./attempt.ts";
-import type { IngressParts, RoutedCall } from "./ingress.ts";
+import type { IngressParts } from "./parts.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { type KeyedBody, readKeyedBody } from "./keyed_body.ts";
 
 /** Source in the ids of attempts that are numbered by their claims. */
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -10,13 +10,12 @@
 import type { Candidate, Policy } from "../choosing/mod.ts";
 import type { Member } from "../control/commands.ts";
 import type { Random } from "../core/random.ts";
-import type { Metrics } from "../metrics/metrics.ts";
+import { MEDIAN, type Metrics } from "../metrics/metrics.ts";
 import type { Directory } from "../node/directory.ts";
 import type { AnswerSizes } from "./answer_sizes.ts";
-import { MEDIAN } from "./attempt.ts";
 import { findEarliestOfFull, hasUsableReport } from "./fleet_state.ts";
 import type { Hints } from "./hints.ts";
-import type { RoutedCall } from "./ingress.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import type { FleetState } from "./search.ts";
 
 /** Options of {@link createPlacement}. */
--- /dev/null
+++ b/src/ingress/routed_call.ts
@@ -0,0 +1,20 @@
+/**
+ * A request of a caller with the route that it matches.
+ * @module
+ */
+import type { RouteMatch } from "../node/directory.ts";
+import type { RoutePolicy, Service } from "../settings/site.ts";
+import type { Call } from "./call.ts";
+
+/** A request with its route and the settings of the route. */
+export interface RoutedCall {
+  call: Call;
+  route: RouteMatch;
+  settings: RoutePolicy;
+  service: Service;
+  workspace: string;
+  startedAt: number;
+  deadlineAt: number;
+  /** Monotonic time of the latency objective, if the route has one. */
+  objectiveAt: number | undefined;
+}
--- a/src/ingress/throttled_dispatch.ts
+++ b/src/ingress/throttled_dispatch.ts
@@ -6,8 +6,8 @@
 import type { Metrics } from "../metrics/metrics.ts";
 import type { Timer } from "../time/timer.ts";
 import { notRunReply, type Reply } from "./call.ts";
-import type { Dispatcher } from "./dispatch.ts";
-import type { RoutedCall } from "./ingress.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { isForCapacity } from "./refusal_causes.ts";
 import type { RequestEnd, Throttle } from "./throttle.ts";
 
--- a/src/ingress/throttled_dispatch_test.ts
+++ b/src/ingress/throttled_dispatch_test.ts
@@ -4,8 +4,8 @@
 import type { RefusalReason } from "../network/frames.ts";
 import { createFakeTimer } from "../time/fake_timer.ts";
 import { notRunReply, type Reply, timeoutReply, unknownReply } from "./call.ts";
-import type { Dispatcher } from "./dispatch.ts";
-import type { RoutedCall } from "./ingress.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { createThrottle } from "./throttle.ts";
 import { throttleDispatch } from "./throttled_dispatch.ts";
 
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -5,6 +5,8 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import type { Outcome } from "../network/frames.ts";
 
+/** Quantile used as the usual latency of a request class. */
+export const MEDIAN = 0.5;
 const MICROSECONDS_PER_MS = 1_000;
 const MAX_LATENCY_MICROSECONDS = 120_000_000;
 const SIGNIFICANT_DIGITS = 2;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -17,11 +17,8 @@
 import { createRateBudget } from "../ingress/budget.ts";
 import { createExchanger } from "../ingress/exchange.ts";
 import type { SilenceFinding } from "../ingress/attempt_recovery.ts";
-import {
-  type ClaimService,
-  createIngress,
-  type Ingress,
-} from "../ingress/ingress.ts";
+import type { ClaimService } from "../ingress/claim_service.ts";
+import { createIngress, type Ingress } from "../ingress/ingress.ts";
 import { createPeerPool, type PeerPool } from "../ingress/peer_pool.ts";
 import { createMetrics, type Metrics } from "../metrics/metrics.ts";
 import type { Channel, Listener, Network } from "../network/channel.ts";
