--- a/src/control/amendments.ts
+++ b/src/control/amendments.ts
@@ -5,41 +5,12 @@
  * @module
  */
 import { isDeepStrictEqual } from "node:util";
-import { z } from "zod";
 import { hashText } from "../core/hash.ts";
-import {
-  prefixRouteSchema,
-  serviceSchema,
-  type Site,
-  siteSchema,
-} from "../settings/site.ts";
+import type { Site } from "../settings/site.ts";
+import type { Amendment } from "./amendment_schema.ts";
 import type { Action } from "./commands.ts";
 import type { KeyChanges } from "./key_revisions.ts";
-import { applyTextEdits, findTextEdits, textEditSchema } from "./text_edits.ts";
-
-const removedSchema = z.array(z.string());
-
-/** Schema of {@link Amendment}. */
-export const amendmentSchema = z.strictObject({
-  kind: z.literal("amend"),
-  /** Digest of the configuration that the amendment applies to. */
-  base: z.string(),
-  /** Hash of the action that the amendment stands for. */
-  digest: z.string(),
-  /** The site without its services and routes, if that has changed. */
-  limits: siteSchema.omit({ services: true, routes: true }).optional(),
-  /** New and changed services. */
-  services: z.record(z.string(), serviceSchema),
-  removedServices: removedSchema,
-  /** New and changed routes of the site. */
-  routes: z.record(z.string(), prefixRouteSchema),
-  removedRoutes: removedSchema,
-  /** Edits of the source document. */
-  document: z.array(textEditSchema),
-});
-
-/** Change of the accepted configuration by the parts that differ. */
-export type Amendment = z.infer<typeof amendmentSchema>;
+import { applyTextEdits, findTextEdits } from "./text_edits.ts";
 
 /** An action that replaces the configuration. */
 export type ConfigureAction = Extract<Action, { kind: "configure" }>;
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -5,7 +5,7 @@
 import { z } from "zod";
 import { outcomeSchema } from "../network/frames.ts";
 import { siteSchema } from "../settings/site.ts";
-import { amendmentSchema } from "./amendments.ts";
+import { amendmentSchema } from "./amendment_schema.ts";
 
 /** The action of an operator's change. */
 export const actionSchema = z.discriminatedUnion("kind", [
