Send the pending responses of a connection before an error or a close

Cause: whatever was written to or closed on a caller's connection disregarded the responses still pending on it, since only the number of a connection's responses was known, or those of the whole server. - A malformed request behind one that runs (a bad header line, bytes that are no HTTP, a head over the limit, two lengths, data behind "connection: close", a head or body that does not come in time): the runtime wrote 400, 431 or 408 in place of the response to the first, which had run, and cut it. - A handler that failed closed the socket, also while earlier responses were pending; a request with an unread body did so at once. - A response queued behind another whose connection had died never closed, so it counted as unsent for good, and a planned stop closed no idle connection any more. Likewise beside a client that reads slowly. The stop lasted until its time limit, and took and passed on requests until then.

The connections of a server are now tracked with the responses pending on each (connections.ts). Errors of the input (input_errors.ts), aborted responses and the stop wait for those before them; a stop tells the caller with the response to the latest request, and takes nothing behind requests in flight once it listens no more.

--- a/src/http/admin_api.ts
+++ b/src/http/admin_api.ts
@@ -18,7 +18,13 @@
 import type { Logger } from "../core/logger.ts";
 import type { Timer } from "../time/timer.ts";
 import { readLimitedBody } from "./body.ts";
-import { closeHttp, createHttpServer, listenHttp, sendJson } from "./server.ts";
+import {
+  abortResponse,
+  closeHttp,
+  createHttpServer,
+  listenHttp,
+  sendJson,
+} from "./server.ts";
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const CHANGE_TIMEOUT_MS = 8_000;
@@ -233,7 +239,7 @@
   const server = createHttpServer((request, response) => {
     handle(request, response).catch((error) => {
       logger.warn("admin.request_failed", { error: errorMessage(error) });
-      response.destroy();
+      abortResponse(response);
     });
   });
 
--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -18,7 +18,9 @@
 import { readBody } from "./body.ts";
 import { type CallerDialect, DefaultCallerDialect } from "./dialect.ts";
 import { parseRawHeaders } from "./raw_headers.ts";
+import { connectionOfSocket } from "./connections.ts";
 import {
+  abortResponse,
   closeHttp,
   createHttpServer,
   listenHttp,
@@ -63,16 +65,8 @@
   const dialect = options.dialect ?? new DefaultCallerDialect();
   /** By connection, a cancellation that fires when the connection ends. */
   const disconnects = new WeakMap<Socket, Cancellation>();
-  /** Number of responses that each connection still waits for. */
-  const pendingResponses = new WeakMap<Socket, number>();
-  /** Connections on which a response with `connection: close` was sent. */
-  const closingSockets = new WeakSet<Socket>();
   let stopping = false;
 
-  function adjustPendingResponses(socket: Socket, change: number): void {
-    pendingResponses.set(socket, (pendingResponses.get(socket) ?? 0) + change);
-  }
-
   async function readCall(
     request: IncomingMessage,
     { signal, arrivedAt }: { signal: Cancellation; arrivedAt?: number },
@@ -118,10 +112,11 @@
       const { length } = reply.body as Uint8Array;
       headers.push(["content-length", String(length)]);
     }
-    const { socket } = response.req;
-    // With other requests pending on the connection, it stays open for them.
-    if (stopping && pendingResponses.get(socket) === 1) {
-      closingSockets.add(socket);
+    const connection = connectionOfSocket(response.req.socket);
+    // With later requests on the connection, it stays open for them.
+    if (stopping && connection?.latest?.response === response) {
+      // No response can follow `connection: close`.
+      connection.refuseRequests();
       headers.push(["connection", "close"]);
     }
     response.writeHead(head.status, headers.flat());
@@ -213,18 +208,9 @@
       sendHealth(response);
       return;
     }
-    const { socket } = request;
-    if (closingSockets.has(socket)) {
-      // No response can follow `connection: close`, so the request is not run.
-      return;
-    }
-    adjustPendingResponses(socket, 1);
-    response.once("close", () => adjustPendingResponses(socket, -1));
     handle(request, response).catch((error) => {
       logger.warn("caller.request_failed", errorFields(error));
-      // Without this a partial response could look complete to the caller.
-      response.destroy();
-      request.destroy();
+      abortResponse(response);
     });
   });
 
--- /dev/null
+++ b/src/http/connections.ts
@@ -0,0 +1,161 @@
+/**
+ * The open connections of an HTTP server, and the responses that are pending on
+ * each. A client that pipelines has several; the runtime sends them in the order
+ * of their requests.
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** An open connection of an HTTP server. */
+export interface Connection {
+  readonly socket: Socket;
+  /** Whether no request has been received yet. */
+  readonly unused: boolean;
+  /** Whether no request is being received, and no response is pending. */
+  readonly idle: boolean;
+  /** Whether requests that arrive from now on are not handled. */
+  readonly refusing: boolean;
+  /** The latest request that is handled, and its response. */
+  readonly latest: Exchange | undefined;
+  /** Ignores requests that arrive from now on; a caller closes the connection. */
+  refuseRequests(): void;
+  /**
+   * Calls `task` once the responses to all requests before that of `response`
+   * are sent, or all responses without `response`. It is not called if the
+   * connection closes first.
+   */
+  afterResponses(task: () => void, before?: ServerResponse): void;
+}
+
+/** A request and the response to it. */
+export interface Exchange {
+  request: IncomingMessage;
+  response: ServerResponse;
+}
+
+/** The connections of one server. */
+export interface Connections {
+  /** Open connections. */
+  readonly open: ReadonlySet<Connection>;
+  /** Number of connections accepted so far. */
+  readonly accepted: number;
+}
+
+/** A connection, as this module changes it. */
+interface TrackedConnection extends Connection {
+  /** Adds a request and its response. */
+  add(exchange: Exchange): void;
+  /** Drops what waits for responses, which the closed socket does not send. */
+  drop(): void;
+}
+
+interface Waiting {
+  task: () => void;
+  before: ServerResponse | undefined;
+}
+
+const connectionOf = new WeakMap<Socket, TrackedConnection>();
+const connectionsOf = new WeakMap<Server, Connections>();
+
+function createConnection(socket: Socket): TrackedConnection {
+  /** Responses that are not closed yet, in the order of their requests. */
+  const pending = new Set<ServerResponse>();
+  let waiting: Waiting[] = [];
+  let latest: Exchange | undefined;
+  let refusing = false;
+
+  function isNext(before: ServerResponse | undefined): boolean {
+    const [first] = pending;
+    return first === undefined || first === before;
+  }
+
+  function runWaiting(): void {
+    const due = waiting.filter(({ before }) => isNext(before));
+    waiting = waiting.filter(({ before }) => !isNext(before));
+    due.forEach(({ task }) => task());
+  }
+
+  return {
+    socket,
+    get unused() {
+      return latest === undefined;
+    },
+    get idle() {
+      return pending.size === 0 && (latest?.request.complete ?? true);
+    },
+    get refusing() {
+      return refusing;
+    },
+    get latest() {
+      return latest;
+    },
+    refuseRequests() {
+      refusing = true;
+    },
+    afterResponses(task, before) {
+      waiting.push({ task, before });
+      runWaiting();
+    },
+    add(exchange) {
+      latest = exchange;
+      const { response } = exchange;
+      pending.add(response);
+      response.once("close", () => {
+        pending.delete(response);
+        runWaiting();
+      });
+    },
+    drop() {
+      // The runtime does not close responses that wait behind another one.
+      pending.clear();
+      waiting = [];
+    },
+  };
+}
+
+/**
+ * Tracks the connections of a server, and passes on the requests that they may
+ * handle to `handler`.
+ */
+export function trackConnections(
+  server: Server,
+  handler: (request: IncomingMessage, response: ServerResponse) => void,
+): void {
+  const open = new Set<Connection>();
+  let accepted = 0;
+  connectionsOf.set(server, {
+    open,
+    get accepted() {
+      return accepted;
+    },
+  });
+  server.on("connection", (socket: Socket) => {
+    const connection = createConnection(socket);
+    accepted++;
+    open.add(connection);
+    connectionOf.set(socket, connection);
+    socket.once("close", () => {
+      open.delete(connection);
+      connection.drop();
+    });
+  });
+  server.on("request", (request, response) => {
+    const connection = connectionOf.get(request.socket);
+    if (connection?.refusing) {
+      return;
+    }
+    connection?.add({ request, response });
+    handler(request, response);
+  });
+}
+
+/** Returns the connections of a server. */
+export function connectionsOfServer(server: Server): Connections {
+  return connectionsOf.get(server) ?? { open: new Set(), accepted: 0 };
+}
+
+/** Returns the connection of a socket; `undefined` for an untracked one. */
+export function connectionOfSocket(socket: Socket): Connection | undefined {
+  return connectionOf.get(socket);
+}
--- a/src/http/local_api.ts
+++ b/src/http/local_api.ts
@@ -13,6 +13,7 @@
 import type { Node } from "../node/node.ts";
 import { readLimitedBody } from "./body.ts";
 import {
+  abortResponse,
   closeHttp,
   createHttpServer,
   listenHttp,
@@ -122,7 +123,7 @@
       handle(request as IncomingMessage, response as ServerResponse)
         .catch((error) => {
           logger.warn("local_api.request_failed", errorFields(error));
-          response.destroy();
+          abortResponse(response);
         });
     });
   }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -10,9 +10,15 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import { Server as NetServer } from "node:net";
 import { StepError } from "../core/errors.ts";
 import { splitAddress } from "../network/channel.ts";
+import {
+  connectionOfSocket,
+  connectionsOfServer,
+  trackConnections,
+} from "./connections.ts";
+import { handleInputErrors } from "./input_errors.ts";
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -36,8 +42,9 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     insecureHTTPParser: false,
     noDelay: true,
-  }, handler);
-  trackConnections(server);
+  });
+  trackConnections(server, handler);
+  handleInputErrors(server);
   return server;
 }
 
@@ -67,69 +74,39 @@
  */
 const FIRST_REQUEST_TIMEOUT_MS = 500;
 
-/** State of the connections of one server. */
-interface Connections {
-  /** Number of open connections. */
-  open: number;
-  /** Number of connections accepted so far. */
-  accepted: number;
-  /** Open connections that have not received a request yet. */
-  withoutRequest: Set<Socket>;
-  /** Responses to received requests that are not closed yet. */
-  openResponses: Set<ServerResponse>;
-}
-
-const connectionsOf = new WeakMap<Server, Connections>();
-
-/** Starts tracking the connections of a server. */
-function trackConnections(server: Server): void {
-  const connections: Connections = {
-    open: 0,
-    accepted: 0,
-    withoutRequest: new Set(),
-    openResponses: new Set(),
-  };
-  const { withoutRequest, openResponses } = connections;
-  connectionsOf.set(server, connections);
-  server.on("connection", (socket) => {
-    connections.open++;
-    connections.accepted++;
-    withoutRequest.add(socket);
-    socket.once("close", () => {
-      connections.open--;
-      withoutRequest.delete(socket);
-    });
-  });
-  server.on("request", ({ socket }, response: ServerResponse) => {
-    withoutRequest.delete(socket);
-    openResponses.add(response);
-    response.once("close", () => openResponses.delete(response));
-  });
-}
-
 /** Returns the number of open connections of a server. */
 export function openConnections(server: Server): number {
-  return connectionsOf.get(server)?.open ?? 0;
+  return connectionsOfServer(server).open.size;
 }
 
-/** Whether a complete response still waits for its client to read it. */
-function hasUnsentResponse(server: Server): boolean {
-  const openResponses = connectionsOf.get(server)?.openResponses ?? [];
-  return [...openResponses].some((response) =>
-    response.writableEnded && !response.writableFinished
-  );
+/** Closes the connections that have received requests and handle none. */
+function closeIdleConnections(server: Server): void {
+  for (const { socket, idle, unused } of connectionsOfServer(server).open) {
+    if (idle && !unused) {
+      socket.destroy();
+    }
+  }
 }
 
-/** Closes the connections that have no request in flight. */
+/** Closes the connections that have received no request. */
 function closeUnusedConnections(server: Server): void {
-  if (!hasUnsentResponse(server)) {
-    // closeIdleConnections() would also close a connection whose response is
-    // complete but not yet read by the client.
-    server.closeIdleConnections();
+  for (const { socket, unused } of connectionsOfServer(server).open) {
+    if (unused) {
+      socket.destroy();
+    }
   }
-  // closeIdleConnections() skips connections that have not had a request yet.
-  for (const socket of connectionsOf.get(server)?.withoutRequest ?? []) {
-    socket.destroy();
+}
+
+/**
+ * Closes each connection after the responses that are pending on it. Otherwise
+ * a client that pipelines could send requests for as long as the server stops.
+ */
+function closeAfterResponses(server: Server): void {
+  for (const connection of connectionsOfServer(server).open) {
+    if (!connection.idle && !connection.refusing) {
+      connection.refuseRequests();
+      connection.afterResponses(() => connection.socket.destroySoon());
+    }
   }
 }
 
@@ -143,7 +120,7 @@
 function acceptQueuedConnections(server: Server, done: () => void): void {
   const deadline = performance.now() + ACCEPT_TIMEOUT_MS;
   function acceptedCount(): number {
-    return connectionsOf.get(server)?.accepted ?? 0;
+    return connectionsOfServer(server).accepted;
   }
   function poll(before: number): void {
     setImmediate(() => {
@@ -164,7 +141,7 @@
  * the accept queue are accepted first, since the kernel would reset them.
  * Requests in flight get their response, and so does a first request that
  * arrives on a new connection shortly after. A client that sends a request
- * later finds the connection closed.
+ * later, or behind one in flight, finds the connection closed.
  */
 export function closeHttp(server: Server): Promise<void> {
   return new Promise((resolve) => {
@@ -174,15 +151,35 @@
         clearInterval(closeTimer);
         resolve();
       });
+      closeAfterResponses(server);
+      // The next poll reads requests that have already arrived.
+      setImmediate(closeIdleConnections, server);
       const closeTimer = setInterval(() => {
-        // The next poll reads requests that have already arrived; only then are
-        // unused connections closed.
-        setImmediate(closeUnusedConnections, server);
+        setImmediate(() => {
+          closeUnusedConnections(server);
+          closeIdleConnections(server);
+          closeAfterResponses(server);
+        });
       }, FIRST_REQUEST_TIMEOUT_MS);
     });
   });
 }
 
+/**
+ * Closes the connection of a response that cannot be completed, so that a part
+ * of it does not look whole. The responses before it are sent first.
+ */
+export function abortResponse(response: ServerResponse): void {
+  const { socket } = response.req;
+  const connection = connectionOfSocket(socket);
+  if (!connection) {
+    socket.destroy();
+    return;
+  }
+  connection.refuseRequests();
+  connection.afterResponses(() => socket.destroy(), response);
+}
+
 /**
  * Closes the connection after a response that precedes the end of the request
  * body, because the rest of the body may be endless.
