--- a/src/control/log_store.ts
+++ b/src/control/log_store.ts
@@ -220,18 +220,22 @@
   return { entries, size: offset, uncoveredBytes };
 }
 
+/**
+ * Checks that the entries follow each other and the snapshot. Entries that the
+ * snapshot covers may end before it: the process or the disk failed after the
+ * snapshot of a leader was stored and before the log was replaced.
+ */
 function checkOrder(entries: Entry[], snapshotIndex: number): void {
-  let expected = entries.length > 0
-    ? Math.min(entries[0].index, snapshotIndex + 1)
-    : 0;
-  for (const entry of entries) {
-    if (entry.index !== expected) {
+  let expected = Math.min(entries[0]?.index ?? 0, snapshotIndex + 1);
+  for (const { index } of entries) {
+    const followsSnapshot = index === snapshotIndex + 1 && expected < index;
+    if (index !== expected && !followsSnapshot) {
       throw new CorruptionError(
         "log.recover",
-        `entry ${entry.index} stands where ${expected} belongs`,
+        `entry ${index} stands where ${expected} belongs`,
       );
     }
-    expected++;
+    expected = index + 1;
   }
 }
 
--- a/src/disk/fake_disk.ts
+++ b/src/disk/fake_disk.ts
@@ -20,6 +20,11 @@
   crash(random: Random): void;
   /** Makes write operations fail from the given operation number on. */
   failFrom(operation: number, reason: string): void;
+  /**
+   * Makes write operations fail as on a full disk: an append keeps a random part
+   * of its bytes, and nothing is replaced, truncated or removed.
+   */
+  fill(random: Random): void;
   /** Makes write operations succeed again. */
   clearFailure(): void;
   /** Removes every file. */
@@ -43,6 +48,8 @@
   let operations = 0;
   let detached = false;
   let failure: { from: number; reason: string } | undefined;
+  /** Source of the parts that a full disk keeps; `undefined` if it has room. */
+  let partOf: Random | undefined;
 
   function recordOperation(step: string, name: string): void {
     if (detached) {
@@ -61,6 +68,12 @@
     return result;
   }
 
+  function appendTo(name: string, bytes: Uint8Array): void {
+    const file = files.get(name) ??
+      { content: new Uint8Array(), durableSize: 0 };
+    files.set(name, { ...file, content: concatenate(file.content, bytes) });
+  }
+
   return {
     get operations() {
       return operations;
@@ -71,10 +84,12 @@
     },
     // deno-lint-ignore require-await -- rejects instead of throwing
     async append(name, bytes) {
+      if (partOf && !detached) {
+        const size = partOf.integer(bytes.length + 1);
+        appendTo(name, bytes.subarray(0, size));
+      }
       recordOperation("append", name);
-      const file = files.get(name) ??
-        { content: new Uint8Array(), durableSize: 0 };
-      files.set(name, { ...file, content: concatenate(file.content, bytes) });
+      appendTo(name, bytes);
     },
     // deno-lint-ignore require-await -- rejects instead of throwing
     async sync(name) {
@@ -117,8 +132,13 @@
     failFrom(operation, reason) {
       failure = { from: operation, reason };
     },
+    fill(random) {
+      partOf = random;
+      failure = { from: operations, reason: "no space left on device" };
+    },
     clearFailure() {
       failure = undefined;
+      partOf = undefined;
     },
     wipe: () => files.clear(),
     copy: () =>
