Cut an incomplete event off the account before more are written

A full disk may keep a part of the events of a write. The next write went behind that part, and all events from there on were read as garbage until the segment was dropped: the account of what happened after the disk had room was lost, in that process and after a restart. A crash in the middle of a write did the same.

The archive now cuts off what does not decode at the end of its segment before it writes again after a failure or a start.

Red before: "events after a write that a full disk cut short are found" found one "lost" event and then undefined ones.

--- a/src/account/account_test.ts
+++ b/src/account/account_test.ts
@@ -2,7 +2,8 @@
 import { silentLogger } from "../core/logger.ts";
 import { createFakeDisk } from "../disk/fake_disk.ts";
 import { createFakeTimer } from "../time/fake_timer.ts";
-import { createArchive } from "./archive.ts";
+import { createSeededRandom } from "../core/random.ts";
+import { type Archive, createArchive } from "./archive.ts";
 import { createRecorder, type Event } from "./events.ts";
 import { renderAccountPage } from "./page.ts";
 import { countByInterval, describeEvent } from "./report.ts";
@@ -55,6 +56,35 @@
   t.same(found.map((event) => event.wallTime), [50, 51, 52]);
 });
 
+test("events after a write that a full disk cut short are found", async (t) => {
+  const disk = createFakeDisk();
+  const timer = createFakeTimer();
+  async function add(archive: Archive, requestId: string): Promise<void> {
+    const added = archive.add([eventAt(1, { requestId })]);
+    await timer.advance(1_000);
+    await added;
+  }
+  const open = () =>
+    createArchive({ disk, logger: silentLogger, timer, segmentBytes: 10_000 });
+  const archive = open();
+  await add(archive, "before");
+  for (let seed = 1; seed < 6; seed++) {
+    disk.fill(createSeededRandom(seed));
+    await add(archive, "lost");
+    disk.clearFailure();
+    await add(archive, "after");
+  }
+  const requestIds = (await archive.find({})).map((one) => one.requestId);
+  t.same(requestIds, ["before", "after", "after", "after", "after", "after"]);
+
+  disk.fill(createSeededRandom(9));
+  await add(archive, "lost");
+  disk.clearFailure();
+  const restarted = open();
+  await add(restarted, "restarted");
+  t.same((await restarted.find({})).at(-1)?.requestId, "restarted");
+});
+
 test("a failed write counts its events as dropped and does not reject", async (t) => {
   const disk = createFakeDisk();
   disk.failFrom(1, "no space left on device");
--- a/src/account/archive.ts
+++ b/src/account/archive.ts
@@ -44,26 +44,34 @@
   segmentBytes: number;
 }
 
-function decodeEvents(bytes: Uint8Array | undefined): Event[] {
-  if (!bytes || bytes.length === 0) {
-    return [];
+/** Events at the start of a segment, and the number of bytes that they take. */
+interface Segment {
+  events: Event[];
+  bytes: number;
+}
+
+function decodeSegment(content: Uint8Array | undefined): Segment {
+  const segment: Segment = { events: [], bytes: 0 };
+  if (!content || content.length === 0) {
+    return segment;
   }
-  const events: Event[] = [];
   try {
-    unpackMultiple(Buffer.from(bytes), (value) => {
-      events.push(value as Event);
+    unpackMultiple(Buffer.from(content), (value, _start, end) => {
+      segment.events.push(value as Event);
+      segment.bytes = end ?? 0;
     });
   } catch {
-    // A crash can leave an incomplete event at the end; those before it are
-    // complete.
+    // A crash or a full disk can leave an incomplete event at the end; those
+    // before it are complete.
   }
-  return events;
+  return segment;
 }
 
 /** Creates an archive. */
 export function createArchive(options: ArchiveOptions): Archive {
   const { disk, logger, timer, segmentBytes } = options;
   const diskQueue = createSerialQueue();
+  /** Size of the newer segment; `undefined` until it is known to end whole. */
   let size: number | undefined;
   let dropped = 0;
   /** Events for the next write; `nextWrite` resolves once they are written. */
@@ -73,22 +81,35 @@
 
   async function rotate(): Promise<void> {
     const previous = await disk.read(PREVIOUS_FILE);
-    dropped += decodeEvents(previous).length;
+    dropped += decodeSegment(previous).events.length;
     const current = await disk.read(CURRENT_FILE) ?? new Uint8Array();
     await disk.replace(PREVIOUS_FILE, current);
     await disk.remove(CURRENT_FILE);
     size = 0;
   }
 
+  /** Removes an incomplete event at the end; returns the size of the rest. */
+  async function cutIncompleteEvent(): Promise<number> {
+    const content = await disk.read(CURRENT_FILE);
+    const { bytes } = decodeSegment(content);
+    if (content && bytes < content.length) {
+      await disk.truncate(CURRENT_FILE, bytes);
+    }
+    return bytes;
+  }
+
   async function append(events: readonly Event[]): Promise<void> {
-    size ??= (await disk.read(CURRENT_FILE))?.length ?? 0;
+    size ??= await cutIncompleteEvent();
     if (size > segmentBytes) {
       await rotate();
     }
     const bytes = Buffer.concat(events.map((event) => packr.pack(event)));
+    const sizeAfter = size + bytes.length;
+    // A write that fails may have written a part.
+    size = undefined;
     await disk.append(CURRENT_FILE, bytes);
     await disk.sync(CURRENT_FILE);
-    size += bytes.length;
+    size = sizeAfter;
   }
 
   /** Writes the pending events, at most once per `WRITE_INTERVAL_MS`. */
@@ -127,8 +148,8 @@
     },
     async find(query) {
       const stored = await diskQueue.run(async () => [
-        ...decodeEvents(await disk.read(PREVIOUS_FILE)),
-        ...decodeEvents(await disk.read(CURRENT_FILE)),
+        ...decodeSegment(await disk.read(PREVIOUS_FILE)).events,
+        ...decodeSegment(await disk.read(CURRENT_FILE)).events,
       ]);
       return [...stored, ...pending]
         .filter((event) => matchesQuery(event, query))
