Close channels between nodes that no call has used for three seconds

Cause: each ping of an idle channel counted as its last use. So the channels that a burst had opened, up to 64 a peer, stayed for good, and each node pinged each peer that it had ever called once a second: messages that grow with nodes times servers.

A channel is now closed three seconds after its last exchange, by when its pings cost about as much as a new connection. A site whose nodes call each other more often than that keeps its connections; where 185 nodes call 110 servers, each at every 30th second, a call opens one in place of 30 pings on either side.

Red before: 40 channels of a burst were all open after 10 s, and 100 peers that were called once got 3,000 pings in a minute (now at most 300).

--- a/src/ingress/peer_pool.ts
+++ b/src/ingress/peer_pool.ts
@@ -46,13 +46,18 @@
 /** A channel that no exchange uses. */
 interface IdleChannel {
   channel: Channel;
+  /** Monotonic time at which its last exchange ended. */
   idleSince: number;
+  /** Monotonic time at which its peer last answered on it. */
+  answeredAt: number;
 }
 
 const MAX_IDLE_PER_PEER = 64;
-/** Idle channels to a peer that are kept beyond their lifetime. */
-const MIN_IDLE_PER_PEER = 1;
-const IDLE_LIFETIME_MS = 30_000;
+/**
+ * Idle time after which a channel is closed. By then its pings have cost about
+ * as much as the new connection that may be needed later.
+ */
+const IDLE_LIFETIME_MS = 3_000;
 
 /** Creates an empty pool. */
 export function createPeerPool(options: PeerPoolOptions): PeerPool {
@@ -80,16 +85,24 @@
     return await network.connect(address, timeouts().connectMs);
   }
 
-  function release(channel: Channel): void {
+  /** Adds a channel behind those that have been idle for longer. */
+  function addIdle(entry: IdleChannel): void {
+    const { channel, idleSince } = entry;
     const list = idle.get(channel.peer) ?? [];
     if (channel.closed || list.length >= MAX_IDLE_PER_PEER) {
       channel.close();
       return;
     }
-    list.push({ channel, idleSince: timer.now() });
+    const next = list.findIndex((other) => other.idleSince > idleSince);
+    list.splice(next < 0 ? list.length : next, 0, entry);
     idle.set(channel.peer, list);
   }
 
+  function release(channel: Channel): void {
+    const now = timer.now();
+    addIdle({ channel, idleSince: now, answeredAt: now });
+  }
+
   function takeIdle(address: string): Channel | undefined {
     const list = idle.get(address);
     while (list && list.length > 0) {
@@ -125,29 +138,41 @@
     }
   }
 
-  /** Pings the oldest idle channel to each peer, and closes surplus ones. */
+  /** Closes the channels of a list that have been idle for too long. */
+  function closeExpired(list: readonly IdleChannel[]): void {
+    const idleBefore = timer.now() - IDLE_LIFETIME_MS;
+    for (const { channel, idleSince } of list) {
+      if (idleSince < idleBefore) {
+        removeIdle(channel.peer, channel);
+        channel.close();
+      }
+    }
+  }
+
+  /** Pings on an idle channel; a failure closes all idle ones to its peer. */
+  function check(entry: IdleChannel): void {
+    const { channel } = entry;
+    removeIdle(channel.peer, channel);
+    pingOn(channel).then(
+      () => addIdle({ ...entry, answeredAt: timer.now() }),
+      () => {
+        channel.close();
+        closeIdle(channel.peer);
+      },
+    );
+  }
+
+  /** Pings on the oldest idle channel to each peer, and closes expired ones. */
   async function maintainIdle(): Promise<void> {
     while (!supervisor.signal.aborted) {
       const { idlePingMs } = timeouts();
       await sleep(timer, idlePingMs, { signal: supervisor.signal });
       for (const [address, list] of [...idle]) {
-        const oldest = list[0];
-        const idleMs = timer.now() - (oldest?.idleSince ?? timer.now());
-        if (idleMs < idlePingMs) {
-          continue;
-        }
-        removeIdle(address, oldest.channel);
-        if (idleMs > IDLE_LIFETIME_MS && list.length > MIN_IDLE_PER_PEER) {
-          oldest.channel.close();
-          continue;
+        closeExpired([...list]);
+        const oldest = idle.get(address)?.[0];
+        if (oldest && timer.now() - oldest.answeredAt >= idlePingMs) {
+          check(oldest);
         }
-        void pingOn(oldest.channel).then(
-          () => release(oldest.channel),
-          () => {
-            oldest.channel.close();
-            closeIdle(address);
-          },
-        );
       }
     }
   }
