Pause between the syncs of a subscription that waits for its view

A node whose server announces itself before control answers subscribes to the server's service, and that asked control again at once for as long as there was no view: 1,001 calls in a second where a call takes 1 ms, from each node. It was the same with a service that control does not know.

A subscription now syncs at the pace of an unconfirmed node (100 ms), and goes on as soon as any sync has brought its service.

Red before: "subscriptions ask again after a pause", 1,001 calls, without control and with control that does not know the service.

--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -81,6 +81,8 @@
   const { timer, random, logger, supervisor } = options;
   const serial = createSerialQueue();
   const wakeup = createCondition(timer);
+  /** Wakes subscriptions that wait for their first view. */
+  const synced = createCondition(timer);
   let confirmed = false;
   let lastSyncAt = -Infinity;
   let catchingUp = false;
@@ -158,6 +160,7 @@
     confirmed = true;
     lastSyncAt = timer.now();
     directory.apply(view);
+    synced.notifyAll();
     if (own) {
       options.onRegistrationFound(own);
     }
@@ -181,6 +184,17 @@
     }
   }
 
+  /** Waits until a sync has brought the view of a service. */
+  async function waitForService(
+    service: string,
+    timeoutMs: number,
+  ): Promise<void> {
+    const deadline = timer.now() + timeoutMs;
+    while (!directory.service(service) && timer.now() < deadline) {
+      await synced.wait(deadline - timer.now());
+    }
+  }
+
   async function fetchViewFromPeer(peer: string): Promise<void> {
     const channel = await network.connect(peer, PEER_SYNC_TIMEOUT_MS);
     try {
@@ -219,10 +233,14 @@
     syncNow,
     start: () => supervisor.start("node.sync", syncTask),
     async subscribe(service) {
+      if (directory.service(service)) {
+        return;
+      }
       directory.subscribe(service);
       const deadline = timer.now() + SUBSCRIBE_TIMEOUT_MS;
       while (!directory.service(service) && timer.now() < deadline) {
         await syncNow();
+        await waitForService(service, UNCONFIRMED_SYNC_INTERVAL_MS);
       }
     },
     catchUp(version, peer) {
--- a/src/node/sync_test.ts
+++ b/src/node/sync_test.ts
@@ -1,4 +1,4 @@
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { test } from "tap";
 import { createRecorder } from "../account/events.ts";
 import { createRoutePacker } from "../control/route_packing.ts";
@@ -8,7 +8,9 @@
 import { createSupervisor } from "../core/tasks.ts";
 import type { Network } from "../network/channel.ts";
 import type { Rpc } from "../rpc/rpc.ts";
+import { StepError } from "../core/errors.ts";
 import { createFakeTimer } from "../time/fake_timer.ts";
+import { sleep } from "../time/timer.ts";
 import type { ControlClient } from "./control_client.ts";
 import { createDirectory } from "./directory.ts";
 import { createSync } from "./sync.ts";
@@ -34,14 +36,20 @@
   return createRoutePacker().pack({ routeTable, services: [] });
 }
 
-/** Starts the sync of a node with a replica that answers with these views. */
-function startSync(views: View[]) {
+/**
+ * Starts the sync of a node with a replica that answers with these views, or
+ * with one that refuses its connections.
+ */
+function startSync(views: View[], { reachable = true } = {}) {
   const timer = createFakeTimer();
   const directory = createDirectory();
   let selected = 0;
+  let calls = 0;
   const rpc = {
-    call: () =>
-      Promise.resolve(ok({
+    async call() {
+      calls++;
+      await sleep(timer, 1);
+      return !reachable ? err(new StepError("rpc.sync", "refused")) : ok({
         confirmed: true,
         stalenessMs: 0,
         leader: "",
@@ -49,7 +57,8 @@
         fleetSize: 1,
         leaseLost: false,
         view: views.shift() ?? { services: [] },
-      })),
+      });
+    },
   } as unknown as Rpc;
   const client = {
     addresses: () => ["a:1"],
@@ -78,7 +87,13 @@
     onRegistrationFound: () => {},
   });
   sync.start();
-  return { timer, directory, sync, selected: () => selected };
+  return {
+    timer,
+    directory,
+    sync,
+    selected: () => selected,
+    calls: () => calls,
+  };
 }
 
 test("a malformed view does not end the syncs of a node", async (t) => {
@@ -87,10 +102,40 @@
     malformed,
     createPackedView(),
   ]);
-  await timer.advance(1);
+  await timer.advance(10);
   t.notOk(sync.confirmed, "nothing of a malformed view counts");
   t.equal(selected(), 1, "another replica is asked next");
   await timer.advance(1_000);
   t.ok(sync.confirmed);
   t.equal(directory.known.routes, 3);
 });
+
+for (const reachable of [false, true]) {
+  const control = reachable ? "control without the service" : "no control";
+  test(`subscriptions ask again after a pause, with ${control}`, async (t) => {
+    const { timer, sync, calls } = startSync([], { reachable });
+    const subscribed = sync.subscribe("work");
+    const other = sync.subscribe("other");
+    await timer.advance(1_000);
+    t.ok(calls() <= 40, `${calls()} calls in a second`);
+    await timer.advance(3_000);
+    await Promise.all([subscribed, other]);
+  });
+}
+
+test("a subscription ends with the first view", async (t) => {
+  const services = [{
+    service: "work",
+    revision: 1,
+    members: [],
+  }] as unknown as View["services"];
+  const { timer, directory, sync } = startSync([{ services }]);
+  const subscribed = sync.subscribe("work");
+  let ended = false;
+  void subscribed.then(() => {
+    ended = true;
+  });
+  await timer.advance(10);
+  t.ok(directory.service("work"));
+  t.ok(ended);
+});
