Keep a third less memory in a process in calm

What a process of keeps in calm, from the kernel's account of its mappings (a node and a replica of a trial site on loopback, 4 s after their start): the runtime's program 42 MB, shared with other processes; 29.5 MB of its own and 7.3 MB of the C library's heap at the node, 32.2 and 7.2 at the replica. - The bundle held two characters that are not ASCII, both in comments, so the runtime kept its 3.0 MB of source with two bytes a character, beside the text that the loader had read and the code cache.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -47,10 +47,16 @@
 
 const filename = join(__dirname, "bundle.cjs");
 const cacheFile = join(__dirname, "bundle.cache");
-const source = "(function (exports, require, module) {" +
-  readFileSync(filename, "utf8") + "\\n})";
-const cachedData = existsSync(cacheFile) ? readFileSync(cacheFile) : undefined;
-const script = new Script(source, { filename, cachedData });
+
+/** Compiles the bundle; what is read for it is not kept afterwards. */
+function compile() {
+  const cachedData = existsSync(cacheFile) ? readFileSync(cacheFile) : undefined;
+  // In ASCII, V8 keeps one byte a character of the source.
+  const source = readFileSync(filename, "latin1");
+  return new Script(source, { filename, cachedData });
+}
+
+const script = compile();
 if (script.cachedDataRejected) {
   process.stdout.write("level=warn event=code_cache.rejected\\n");
 }
@@ -90,6 +96,13 @@
   platform: "node",
   format: "cjs",
   target: "node20",
+  // The process keeps the source; names stay for the sake of stack traces.
+  minifyWhitespace: true,
+  minifySyntax: true,
+  legalComments: "none",
+  charset: "ascii",
+  banner: { js: "(function (exports, require, module) {" },
+  footer: { js: "})" },
   logLevel: "warning",
 });
 const loader = join(TARGET, "mustardcross.js");
