Confirm the reads that wait together at once, and hold syncs for a leader

A replica answers a sync before there is a leader with "not confirmed" at once; the node asks another replica 100 ms later, and may just have missed. 3. Each waiting node is a question to the leader of its own, and a quorum read.

Red before: 185 reads at one time ask the leader once (185 times).

--- a/src/control/leader_calls.ts
+++ b/src/control/leader_calls.ts
@@ -9,6 +9,7 @@
 import type { Command } from "./commands.ts";
 import { confirmMethod, type LeaderReply } from "./node_methods.ts";
 import type { ProposalError } from "./proposals.ts";
+import { createReadConfirmations } from "./read_confirmations.ts";
 import type { Replica } from "./replica.ts";
 
 /**
@@ -63,9 +64,10 @@
    * Whether this replica now has all entries that were accepted before the
    * call. The wait ends without a confirmation if the leader does not answer in
    * time, if this replica does not catch up in time, or if it stops; the reply
-   * to a node then states that its view is not confirmed.
+   * to a node then states that its view is not confirmed. Without an answer it
+   * asks again until `waitMs` have passed, by default not at all.
    */
-  confirmRead(): Promise<boolean>;
+  confirmRead(waitMs?: number): Promise<boolean>;
 }
 
 /** Converts a result of the replica into the reply that callers receive. */
@@ -118,29 +120,33 @@
     return toLeaderReply(await replica.confirm());
   }
 
+  async function confirmOnce(): Promise<boolean> {
+    const reply = await call(confirmMethod, {
+      request: {},
+      timeoutMs: CONFIRM_TIMEOUT_MS,
+      local: confirmLocally,
+    });
+    if (reply.kind !== "done") {
+      return false;
+    }
+    const deadline = timer.now() + CONFIRM_TIMEOUT_MS;
+    while (timer.now() < deadline) {
+      if (replica.status().commitIndex >= reply.value) {
+        return true;
+      }
+      await sleep(timer, CATCH_UP_POLL_INTERVAL_MS, { signal });
+    }
+    return false;
+  }
+
+  const reads = createReadConfirmations({ timer, signal, confirmOnce });
+
   return {
     isLeader,
     call,
     confirmLocally,
     propose: async <T>(command: Command) =>
       toLeaderReply(await replica.propose(command) as Result<T, ProposalError>),
-    async confirmRead() {
-      const reply = await call(confirmMethod, {
-        request: {},
-        timeoutMs: CONFIRM_TIMEOUT_MS,
-        local: confirmLocally,
-      });
-      if (reply.kind !== "done") {
-        return false;
-      }
-      const deadline = timer.now() + CONFIRM_TIMEOUT_MS;
-      while (timer.now() < deadline) {
-        if (replica.status().commitIndex >= reply.value) {
-          return true;
-        }
-        await sleep(timer, CATCH_UP_POLL_INTERVAL_MS, { signal });
-      }
-      return false;
-    },
+    confirmRead: (waitMs = 0) => reads.confirm(waitMs),
   };
 }
--- a/src/control/leader_calls_test.ts
+++ b/src/control/leader_calls_test.ts
@@ -41,6 +41,23 @@
   t.equal(confirmed, true);
 });
 
+test("reads of many nodes at the same time ask the leader once", async (t) => {
+  const { timer, network, replica, calls } = await build();
+  replica.currentStatus.commitIndex = 7;
+  let questions = 0;
+  const decide = network.decideDelivery;
+  network.decideDelivery = (message) => {
+    questions += message.method === confirmMethod.name && !message.reply
+      ? 1
+      : 0;
+    return decide(message);
+  };
+  const reads = Array.from({ length: 185 }, () => calls.confirmRead());
+  await timer.advance(100);
+  t.same(new Set(await Promise.all(reads)), new Set([true]));
+  t.equal(questions, 1);
+});
+
 test("a read is not confirmed if the follower does not catch up or the leader is down", async (t) => {
   const { timer, network, calls } = await build();
   const behind = calls.confirmRead();
