Compare a sample of a service's servers, and read reports until one is old

A choice built the state of every server of the service before the policy took 16 of them at random, and the state of the fleet read every report, though one old report settles it. With 110 servers a choice read 110, up to six times a request (guards that turn it away). The sample is now taken first; the rare choice of a cold server still looks at all.

--- a/src/choosing/expected_wait.ts
+++ b/src/choosing/expected_wait.ts
@@ -19,9 +19,8 @@
   registerPolicy,
   UNKNOWN_DEMAND,
 } from "./policy.ts";
+import { sample } from "./sample.ts";
 
-/** Largest number of candidates that are scored for one choice. */
-const MAX_SAMPLED = 16;
 /** Factor on the score of a server in the same failure domain. */
 const SAME_DOMAIN_FACTOR = 0.95;
 /** The factor for a long answer, whose transfer between domains is costly. */
@@ -114,21 +113,6 @@
   return sorted[Math.floor((sorted.length - 1) / 2)];
 }
 
-/** Returns the candidates, or a random sample if there are many. */
-function sample(
-  candidates: readonly Candidate[],
-  random: Random,
-): readonly Candidate[] {
-  if (candidates.length <= MAX_SAMPLED) {
-    return candidates;
-  }
-  const chosen = new Set<number>();
-  while (chosen.size < MAX_SAMPLED) {
-    chosen.add(random.integer(candidates.length));
-  }
-  return [...chosen].map((index) => candidates[index]);
-}
-
 registerPolicy(
   "expected_wait",
   ({ staleAfterMs }) => new ExpectedWaitPolicy(staleAfterMs),
--- a/src/choosing/mod.ts
+++ b/src/choosing/mod.ts
@@ -13,3 +13,4 @@
   type Policy,
   policyNames,
 } from "./policy.ts";
+export { sample } from "./sample.ts";
--- a/src/ingress/fleet_state.ts
+++ b/src/ingress/fleet_state.ts
@@ -68,6 +68,32 @@
     failurePenalty;
 }
 
+/** What the reports of all servers show together. */
+export interface Reports {
+  /** Whether there are servers, and all have a recent report. */
+  allReported: boolean;
+  /** The servers, if all are reported full. */
+  full?: Candidate[];
+}
+
+/**
+ * Reads the reports of servers until one shows that not all are reported. Most
+ * reports are old at a service with many servers, so few of them are read.
+ */
+export function readReports(candidates: Iterable<Candidate>): Reports {
+  const read: Candidate[] = [];
+  let allFull = true;
+  for (const candidate of candidates) {
+    if (!hasUsableReport(candidate)) {
+      return { allReported: false };
+    }
+    allFull &&= isReportedFull(candidate);
+    read.push(candidate);
+  }
+  const allReported = read.length > 0;
+  return allReported && allFull ? { allReported, full: read } : { allReported };
+}
+
 /** Returns the server with the lowest cost if all are reported full. */
 export function findEarliestOfFull(
   candidates: readonly Candidate[],
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -7,13 +7,13 @@
  * exchange with another node, and its state is known exactly.
  * @module
  */
-import type { Candidate, Policy } from "../choosing/mod.ts";
+import { type Candidate, type Policy, sample } from "../choosing/mod.ts";
 import type { Member } from "../control/commands.ts";
 import type { Random } from "../core/random.ts";
 import { MEDIAN, type Metrics } from "../metrics/metrics.ts";
 import type { Directory } from "../node/directory.ts";
 import type { AnswerSizes } from "./answer_sizes.ts";
-import { findEarliestOfFull, hasUsableReport } from "./fleet_state.ts";
+import { findEarliestOfFull, readReports } from "./fleet_state.ts";
 import type { Hints } from "./hints.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import type { FleetState } from "./search.ts";
@@ -78,25 +78,40 @@
       );
   }
 
+  function* candidatesOf(members: readonly Member[]): Generator<Candidate> {
+    for (const member of members) {
+      yield toCandidate(member);
+    }
+  }
+
+  function toCandidate(member: Member): Candidate {
+    return hints.candidate(member, domain);
+  }
+
   /**
-   * Returns a cold server with spare capacity for a small share of requests. A
-   * server warms up only by processing requests, and the policy would not
-   * choose a cold one.
+   * Returns a cold server with spare capacity. A server warms up only by
+   * processing requests, and the policy would not choose a cold one.
    */
-  function chooseColdServer(
-    available: readonly Member[],
-    candidates: readonly Candidate[],
-  ): Candidate | undefined {
-    if (random.fraction() >= WARM_UP_SHARE) {
-      return undefined;
-    }
-    const cold = candidates.filter((candidate, index) =>
-      candidate.allowed > 0 && candidate.allowed < available[index].slots &&
-      candidate.ownInFlight < candidate.allowed
-    );
+  function chooseColdServer(available: readonly Member[]): Member | undefined {
+    const cold = available.filter((member) => {
+      const { allowed, ownInFlight } = toCandidate(member);
+      return allowed > 0 && allowed < member.slots && ownInFlight < allowed;
+    });
     return cold[random.integer(Math.max(1, cold.length))];
   }
 
+  /** Chooses among a sample, since each server that is compared costs time. */
+  function chooseByPolicy(
+    { settings }: RoutedCall,
+    available: readonly Member[],
+  ): Member | undefined {
+    const compared = sample(available, random);
+    const { server } = policy.choose(compared.map(toCandidate), random, {
+      answerBytes: sizes.averageBytes(settings.class),
+    });
+    return compared.find((member) => member.server === server);
+  }
+
   return {
     choose(routed, avoid) {
       const local = findLocalServer(routed, avoid);
@@ -107,16 +122,9 @@
       if (available.length === 0) {
         return undefined;
       }
-      const candidates = available.map((member) =>
-        hints.candidate(member, domain)
-      );
-      const chosen = chooseColdServer(available, candidates) ??
-        policy.choose(candidates, random, {
-          answerBytes: sizes.averageBytes(routed.settings.class),
-        });
-      const member = available.find((member) =>
-        member.server === chosen.server
-      );
+      const warmsUp = random.fraction() < WARM_UP_SHARE;
+      const member = (warmsUp ? chooseColdServer(available) : undefined) ??
+        chooseByPolicy(routed, available);
       return member && withIncarnation(member);
     },
     fleetState(routed, avoid) {
@@ -124,14 +132,13 @@
         return { allReported: false };
       }
       const available = findAvailableMembers(routed, avoid);
-      const candidates = available.map((member) =>
-        hints.candidate(member, domain)
-      );
-      const allReported = available.length > 0 &&
-        candidates.every(hasUsableReport);
+      const { allReported, full } = readReports(candidatesOf(available));
+      if (!full) {
+        return { allReported };
+      }
       const usualWorkMs = () =>
         metrics.quantile(routed.settings.class, MEDIAN) ?? DEFAULT_WORK_MS;
-      const earliest = findEarliestOfFull(candidates, { usualWorkMs, random });
+      const earliest = findEarliestOfFull(full, { usualWorkMs, random });
       const member = available.find((member) =>
         member.server === earliest?.server
       );
