Ask each peer on its own whether this replica's disk is current

A replica that starts again asked all its peers in rounds, and a round lasted until two had replied or all had failed. A peer without power neither answers nor refuses, so a round that began before the other peers stood lasted for the 500 ms of its calls.

Each peer is now asked until it replies, and the replica goes on once enough have.

--- a/src/control/startup_identity.ts
+++ b/src/control/startup_identity.ts
@@ -100,34 +100,44 @@
     return formed === undefined ? undefined : { formed, rolledBack };
   }
 
+  /** Calls peers once, and resolves with the replies of those that answer. */
+  async function callPeers(peers: string[]): Promise<HelloReply[]> {
+    const replies = await Promise.all(peers.map(callPeer));
+    return replies.filter((reply) => reply !== undefined);
+  }
+
   /**
-   * Calls peers. Resolves once all have replied or failed, or a short time
-   * after a sufficient number have replied.
+   * Calls each peer until it replies; a peer that does not answer delays no
+   * other. Resolves a short time after `needed` have replied, or with fewer if
+   * the replica stops.
    */
-  function callPeers(
-    addresses: string[],
-    sufficient = addresses.length,
+  function collectReplies(
+    peers: string[],
+    needed: number,
   ): Promise<HelloReply[]> {
     const replies: HelloReply[] = [];
-    let pending = addresses.length;
     return new Promise((resolve) => {
-      function resolveIfDone(): void {
-        if (pending === 0) {
-          resolve(replies);
-        } else if (replies.length === sufficient) {
-          timer.after(LATE_REPLY_WAIT_MS, () => resolve([...replies]));
-        }
+      let ended = false;
+      function end(): void {
+        ended = true;
+        resolve(replies);
       }
-      resolveIfDone();
-      for (const address of addresses) {
-        void callPeer(address).then((reply) => {
-          pending--;
+      async function callUntilReply(peer: string): Promise<void> {
+        while (!ended && !signal.aborted) {
+          const reply = await callPeer(peer);
           if (reply) {
             replies.push(reply);
+            break;
           }
-          resolveIfDone();
-        });
+          await sleep(timer, RETRY_PAUSE_MS, { signal });
+        }
+        if (signal.aborted || replies.length === peers.length) {
+          end();
+        } else if (replies.length === needed) {
+          timer.after(LATE_REPLY_WAIT_MS, end);
+        }
       }
+      peers.forEach((peer) => void callUntilReply(peer));
     });
   }
 
@@ -191,17 +201,16 @@
       others.size,
       Math.max(1, Math.floor(voters.length / 2)),
     );
-    while (!signal.aborted) {
-      const replies = await callPeers([...others], needed);
-      if (replies.some((reply) => reply.rolledBack)) {
-        return await becomeLearner("the disk was rolled back");
-      }
-      if (replies.length >= needed) {
-        return { kind: "confirmed", identity };
-      }
-      await sleep(timer, RETRY_PAUSE_MS, { signal });
+    if (needed === 0) {
+      return { kind: "confirmed", identity };
     }
-    return { kind: "stopped" };
+    const replies = await collectReplies([...others], needed);
+    if (replies.some((reply) => reply.rolledBack)) {
+      return await becomeLearner("the disk was rolled back");
+    }
+    return signal.aborted
+      ? { kind: "stopped" }
+      : { kind: "confirmed", identity };
   }
 
   const identity = recovered.identity?.identity;
