--- a/tests/platform/hanging_server_test.ts
+++ b/tests/platform/hanging_server_test.ts
@@ -11,10 +11,18 @@
 /** Slots that the harness's server announces. */
 const SLOTS = 8;
 const GATEWAY_TIMEOUT = 504;
+const HEARTBEAT_MS = 1_000;
 
 test("requests that a server never answers", async (t) => {
   const harness = await startServingHarness();
   t.teardown(harness.stop);
+  // A run that may not be repeated holds its slot for ten seconds, and a server
+  // that is silent for as long counts as gone.
+  const heartbeats = setInterval(
+    () => void harness.sendHeartbeat(),
+    HEARTBEAT_MS,
+  );
+  t.teardown(() => clearInterval(heartbeats));
   /** Connections on which a request hangs. */
   const hanging = new Set<Socket>();
   let behindHanging = 0;
