Move the serving of attempts out of the guard into a factory of its own

What a guard does with one attempt (refuse, wait for a slot, run, send the end) stands in attempt_service.ts now, with its own state and the parts that it uses as options; the guard wires it.

--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -4,26 +4,20 @@
  * @module
  */
 import type { Recorder } from "../account/events.ts";
-import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
-import { estimateArrival, type EventLoopLag } from "../time/event_loop_lag.ts";
+import type { EventLoopLag } from "../time/event_loop_lag.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import type { Channel } from "../network/channel.ts";
-import type {
-  Attempt,
-  AttemptId,
-  Frame,
-  Load,
-  Refused,
-} from "../network/frames.ts";
+import type { Attempt, Frame, Load } from "../network/frames.ts";
 import type { Directory } from "../node/directory.ts";
 import { createViewResponder } from "../node/view_request.ts";
 import type { Service } from "../settings/site.ts";
 import { type Admission, createAdmission } from "./admission.ts";
-import { createAttemptLog, type Refusal } from "./attempt_log.ts";
+import { createAttemptLog } from "./attempt_log.ts";
 import { createAttemptLedger } from "./attempt_ledger.ts";
+import { createAttemptService } from "./attempt_service.ts";
 import type {
   AnswerMetadata,
   BackendError,
@@ -31,7 +25,6 @@
 } from "./backend.ts";
 import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
 import { createResumption } from "./resumption.ts";
-import { type AttemptResult, runAttempt } from "./run.ts";
 import {
   type Announcement,
   type AnnouncementResult,
@@ -143,12 +136,6 @@
 
 const LEDGER_CAPACITY = 50_000;
 const DRAIN_CHECK_MS = 10;
-/**
- * Time past its deadline for which a drain waits for an attempt whose channel
- * has closed.
- */
-const ANSWER_GRACE_MS = 100;
-const RETRY_AFTER_MS = 250;
 const DEFAULT_KEEPALIVE_MS = 100;
 
 /**
@@ -156,7 +143,7 @@
  */
 export function createGuard(options: GuardOptions): Guard {
   const { vm, domain, incarnation, directory, timer, logger } = options;
-  const { recorder, metrics, lag } = options;
+  const { recorder } = options;
   const attemptLog = createAttemptLog({
     ...options,
     decisionInputs: () => ({
@@ -236,8 +223,25 @@
     crashes,
     settings,
   });
-  /** Attempts that run, with the channels on which their senders wait. */
-  const activeRuns = new Set<{ channel: Channel; deadlineAt: number }>();
+  const attempts = createAttemptService({
+    ...options,
+    rules,
+    ledger,
+    attemptLog,
+    resumption,
+    keepalives,
+    admission,
+    crashes,
+    link,
+    watch,
+    settings,
+    slots,
+    load,
+    onReportNeeded: () => options.onReportNeeded?.(),
+    onFailure: handleFailure,
+    onCompletion: handleCompletion,
+    onAnswerMetadata: handleAnswerMetadata,
+  });
   let wasWithdrawn = false;
 
   function settings(): Service | undefined {
@@ -314,20 +318,6 @@
     applyWithdrawal();
   });
 
-  /** Creates the refusal of an attempt. The ledger must hold it as fenced. */
-  function createRefusal(
-    attempt: AttemptId,
-    { reason, waitMs }: Refusal,
-  ): Refused {
-    return {
-      kind: "refused",
-      attempt,
-      reason,
-      retryAfterMs: waitMs ?? RETRY_AFTER_MS,
-      load: load(),
-    };
-  }
-
   function restartWarmup(cause: string): void {
     rates.warmup.reset();
     logger.warn("guard.cold", { cause });
@@ -386,214 +376,10 @@
     admission.startWaitingRequests();
   }
 
-  async function serveAttempt(channel: Channel, frame: Attempt): Promise<void> {
-    const { attempt } = frame;
-    options.onReportNeeded?.();
-    if (frame.version > directory.version) {
-      options.onNewerVersion(frame.version, frame.from);
-    }
-    const immediateRefusal = rules.findRefusal(frame);
-    const ledgerResult = immediateRefusal
-      ? ledger.fence(attempt)
-      : ledger.start(attempt);
-    if (ledgerResult === "fenced") {
-      const refused = immediateRefusal ?? { reason: "fenced" };
-      attemptLog.refused(frame, refused);
-      await channel.send(createRefusal(attempt, refused));
-      return;
-    }
-    if (ledgerResult !== "started") {
-      // A duplicate: the first copy is answered on the channel that brought it.
-      channel.close();
-      return;
-    }
-    const tracked = resumption.track(attempt);
-    try {
-      await serveWithKeepalives(channel, { frame, onEnd: tracked.resolve });
-    } finally {
-      tracked.release();
-    }
-  }
-
-  /**
-   * Refuses an attempt that the ledger holds as started, but that did not run.
-   */
-  async function refuseStarted(
-    channel: Channel,
-    { frame, refused, onEnd }: {
-      frame: Attempt;
-      refused: Refusal;
-      onEnd: (end: AttemptResult) => void;
-    },
-  ): Promise<void> {
-    ledger.set(frame.attempt, "fenced");
-    attemptLog.refused(frame, refused);
-    const end = createRefusal(frame.attempt, refused);
-    onEnd(end);
-    if (!channel.closed) {
-      await channel.send(end);
-    }
-  }
-
-  async function serveWithKeepalives(
-    channel: Channel,
-    { frame, onEnd }: { frame: Attempt; onEnd: (end: AttemptResult) => void },
-  ): Promise<void> {
-    const channelClosed = createCanceller();
-    const unsubscribe = channel.onClose(channelClosed.cancel);
-    // Without keepalives, the sender takes a long wait for a lost connection.
-    const stopKeepalives = keepalives.start(channel);
-    function reportEnd(end: AttemptResult): void {
-      stopKeepalives();
-      onEnd(end);
-    }
-    try {
-      await runWhenAdmitted(channel, {
-        frame,
-        channelClosed,
-        onEnd: reportEnd,
-      });
-    } finally {
-      stopKeepalives();
-      unsubscribe();
-    }
-  }
-
-  async function runWhenAdmitted(
-    channel: Channel,
-    { frame, channelClosed, onEnd }: {
-      frame: Attempt;
-      channelClosed: Cancellation;
-      onEnd: (end: AttemptResult) => void;
-    },
-  ): Promise<void> {
-    const exclusive = frame.suspect || crashes.suspicionOf(frame) === "suspect";
-    const { attempt } = frame;
-    const queuedAt = timer.now();
-    const admitting = admission.admit(
-      rules.createAdmissionRequest(frame, {
-        exclusive,
-        signal: channelClosed,
-      }),
-    );
-    if (admission.queued > 0) {
-      options.onReportNeeded?.();
-    }
-    const admissionResult = await admitting;
-    const waitedMs = timer.now() - queuedAt;
-    metrics.timing("queue_wait", frame.class, waitedMs);
-    if (admissionResult.kind === "refused") {
-      await refuseStarted(channel, { frame, refused: admissionResult, onEnd });
-      return;
-    }
-    // While the event loop lags, the sender may have closed its channel without
-    // this process having read it yet.
-    if (lag.lagging) {
-      await lag.waitForCloses();
-    }
-    // The reasons to refuse may have changed while the attempt was queued.
-    const reasonAfterWait = channelClosed.cancelled
-      ? "cancelled"
-      : rules.findRefusalReason(frame);
-    const { backend, announced } = link;
-    const boot = announced?.boot;
-    if (reasonAfterWait || !backend) {
-      admissionResult.slot.release();
-      const reason = reasonAfterWait ?? "no_backend_server";
-      await refuseStarted(channel, { frame, refused: { reason }, onEnd });
-      return;
-    }
-    const activeRun = { channel, deadlineAt: queuedAt + frame.timeLeftMs };
-    activeRuns.add(activeRun);
-    const runWatch = watch.begin({
-      class: frame.class,
-      busy: admission.inFlight,
-      slots: slots(),
-      slowness: link.report?.slowness ?? 1,
-      onSlow() {
-        if (frame.repeatable && !channel.closed) {
-          void channel.send({ kind: "slow" }).catch(() => {});
-        }
-      },
-    });
-    const run = runAttempt({
-      channel,
-      frame,
-      backend,
-      instance: announced?.instance ?? "",
-      timer,
-      channelClosed,
-      load,
-      shedMeansNotRun: settings()?.shed_means_not_run ?? false,
-      onFailure: (error) => handleFailure(frame, error),
-      onCompletion: (completion) => {
-        if (completion.ok) {
-          runWatch.recordCompletion(completion.latencyMs, admission.inFlight);
-        }
-        handleCompletion(frame, completion);
-      },
-      onAnswerMetadata(metadata, sentAt) {
-        if (link.announced?.boot === boot) {
-          handleAnswerMetadata(metadata, sentAt);
-        }
-      },
-    });
-    const ending = run.ended.then((end) => {
-      runWatch.recordEnd(end);
-      activeRuns.delete(activeRun);
-      attemptLog.ended(frame, end, waitedMs);
-      admissionResult.slot.release();
-      if (end.kind === "refused") {
-        ledger.set(attempt, "fenced");
-        onEnd(end);
-        return;
-      }
-      ledger.set(attempt, end.kind === "answer" ? "finished" : "failed");
-      resumption.store(end);
-      if (exclusive && end.kind === "answer") {
-        crashes.clearSuspicion(frame);
-      }
-      onEnd(end);
-    });
-    try {
-      await run.delivered;
-    } finally {
-      await ending;
-    }
-  }
-
-  /**
-   * Serves an attempt that was read late. Its sender may have cancelled it
-   * meanwhile by closing the channel, so this waits until the event loop has
-   * read such a closing. Then it drops the attempt, or reduces its remaining
-   * time by the time since it arrived.
-   */
-  async function serveAfterLag(
-    channel: Channel,
-    frame: Attempt,
-  ): Promise<void> {
-    const readAt = timer.now();
-    const arrivedAt = estimateArrival(readAt, channel.maxUnreadMs ?? 0);
-    await lag.waitForTurn(() => channel.closed);
-    if (channel.closed) {
-      metrics.count("left_unread");
-      return;
-    }
-    const ageMs = timer.now() - arrivedAt;
-    const { timeLeftMs, objectiveLeftMs } = frame;
-    await serveAttempt(channel, {
-      ...frame,
-      timeLeftMs: Math.max(0, timeLeftMs - ageMs),
-      objectiveLeftMs: objectiveLeftMs && objectiveLeftMs - ageMs,
-    });
-  }
-
   async function serveFrame(channel: Channel, frame: Frame): Promise<void> {
     switch (frame.kind) {
       case "attempt":
-        return channel.closeMayBePending
-          ? await serveAfterLag(channel, frame)
-          : await serveAttempt(channel, frame);
+        return await attempts.serve(channel, frame);
       case "fence": {
         const other = frame.incarnation !== incarnation;
         const state = other ? "other_incarnation" : ledger.fence(frame.attempt);
@@ -622,14 +408,6 @@
     }
   }
 
-  /** Whether a sender may still wait for the result of an attempt that runs. */
-  function hasAwaitedRun(): boolean {
-    const now = timer.now();
-    return [...activeRuns].some(({ channel, deadlineAt }) =>
-      !channel.closed || now < deadlineAt + ANSWER_GRACE_MS
-    );
-  }
-
   return {
     incarnation,
     get announced() {
@@ -696,7 +474,7 @@
         domain,
         cause: "the node stops",
       });
-      while (hasAwaitedRun()) {
+      while (attempts.hasAwaitedRun()) {
         await sleep(timer, DRAIN_CHECK_MS);
       }
     },
