--- a/tests/control/full_disks_test.ts
+++ b/tests/control/full_disks_test.ts
@@ -158,3 +158,51 @@
   t.equal(role, "follower", failure);
   t.same(harness.findViolations(), []);
 });
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`a disk that is full at the first start, seed ${seed}`, async (t) => {
+    const harness = createHarness({ seed, replicas: seed % 2 === 0 ? 3 : 5 });
+    const [{ name }] = harness.cluster.vms;
+    harness.cluster.vm(name).disk.fill(harness.random);
+    const started = harness.cluster.startAll();
+    await harness.timer.advance(harness.random.integer(MAX_SPELL_MS));
+    harness.cluster.vm(name).disk.clearFailure();
+    await started;
+    await harness.until(
+      "a replica leads",
+      () => harness.cluster.leader() !== undefined,
+    );
+    const result = await harness.change({ giveUpMs: REPLY_LIMIT_MS });
+    t.equal(result?.kind, "accepted");
+    await harness.waitForConvergence();
+    t.same(harness.findViolations(), []);
+  });
+
+  test(`a full disk while another member is replaced, seed ${seed}`, async (t) => {
+    const harness = createHarness({
+      seed,
+      replicas: 5,
+      tuning: SNAPSHOT_TUNING,
+    });
+    await harness.startCluster();
+    const stopChanges = sendChanges(harness);
+    const leader = harness.cluster.leader()!.name;
+    const [replaced, other] = harness.cluster.vms
+      .map(({ name }) => name)
+      .filter((name) => name !== leader);
+    harness.cluster.kill(replaced);
+    harness.cluster.vm(replaced).disk.wipe();
+    await harness.cluster.start(replaced);
+    await harness.timer.advance(harness.random.integer(500));
+    const full = harness.cluster.vm(seed % 2 === 0 ? leader : other);
+    full.disk.fill(harness.random);
+    await harness.timer.advance(harness.random.integer(MAX_SPELL_MS));
+    full.disk.clearFailure();
+    stopChanges();
+    await harness.timer.advance(RECOVERY_MS);
+    const result = await harness.change({ giveUpMs: REPLY_LIMIT_MS });
+    t.equal(result?.kind, "accepted");
+    await harness.waitForConvergence();
+    t.same(harness.findViolations(), []);
+  });
+}
