Ask peers and replicas again at once after a wait that was in vain

First calls were later, not sooner. 1. A sync that waited 500 ms for a leader ended just before there was one, and the node paused for its 100 ms before it asked the next replica. The pause now counts from the start of a sync. 2. The replicas heard that their disks were current only 0.22 s after the third one stood. A question to a machine without power hung for its 500 ms, though the machine came up meanwhile. Questions now end after 200 ms.

--- a/src/control/startup_identity.ts
+++ b/src/control/startup_identity.ts
@@ -11,6 +11,12 @@
 import type { LogStore, Membership, Recovered } from "./log_store.ts";
 import { helloMethod } from "./methods.ts";
 
+/**
+ * Timeout of one question to a peer, in milliseconds. A machine that has no power
+ * when it is called loses the connection's first packet, which is sent again a
+ * second later; a new connection finds the machine sooner.
+ */
+const HELLO_TIMEOUT_MS = 200;
 /** Pause before peers are called again, in milliseconds. */
 const RETRY_PAUSE_MS = 50;
 /**
@@ -90,7 +96,7 @@
         lastIndex: last,
         term: recovered.vote.term,
       },
-      timeoutMs: options.callMs,
+      timeoutMs: Math.min(HELLO_TIMEOUT_MS, options.callMs),
     });
     if (reply.isErr()) {
       return undefined;
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -177,10 +177,18 @@
     await serial.run(syncOnce);
   }
 
+  /** Pause after a sync. One that waited for a leader in vain needs none. */
+  function pauseMs(startedAt: number): number {
+    return confirmed
+      ? intervalMs()
+      : Math.max(0, startedAt + intervalMs() - timer.now());
+  }
+
   async function syncTask(): Promise<void> {
     while (!supervisor.signal.aborted) {
+      const startedAt = timer.now();
       await syncNow();
-      await wakeup.wait(intervalMs());
+      await wakeup.wait(pauseMs(startedAt));
     }
   }
 
--- a/src/node/sync_test.ts
+++ b/src/node/sync_test.ts
@@ -40,7 +40,14 @@
  * Starts the sync of a node with a replica that answers with these views, or
  * with one that refuses its connections.
  */
-function startSync(views: View[], { reachable = true } = {}) {
+function startSync(
+  views: View[],
+  { reachable = true, heldMs = 0 }: {
+    reachable?: boolean;
+    /** Time for which the replica waits in vain for a leader, if it does. */
+    heldMs?: number;
+  } = {},
+) {
   const timer = createFakeTimer();
   const directory = createDirectory();
   let selected = 0;
@@ -48,9 +55,9 @@
   const rpc = {
     async call() {
       calls++;
-      await sleep(timer, 1);
+      await sleep(timer, heldMs || 1);
       return !reachable ? err(new StepError("rpc.sync", "refused")) : ok({
-        confirmed: true,
+        confirmed: heldMs === 0,
         stalenessMs: 0,
         leader: "",
         replicas: [],
@@ -123,6 +130,14 @@
   });
 }
 
+test("a sync that was held for a leader is followed by the next at once", async (t) => {
+  const heldMs = 500;
+  const { timer, calls, sync } = startSync([], { heldMs });
+  await timer.advance(3 * heldMs + 50);
+  t.notOk(sync.confirmed);
+  t.equal(calls(), 4, "three that were held, and the next");
+});
+
 test("a subscription ends with the first view", async (t) => {
   const services = [{
     service: "work",
