--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -17,6 +17,7 @@
 import { createKeyedCalls } from "./keyed_calls.ts";
 import type { FrameOptions, IngressOptions, IngressParts } from "./parts.ts";
 import { createPlacement } from "./placement.ts";
+import { notReadyReply } from "./retry_after.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import { createSpentTime } from "./spent_time.ts";
 
@@ -143,7 +144,7 @@
       randomFraction: random.fraction,
     });
     if (!directory.global) {
-      return notRunReply("not_ready");
+      return notReadyReply(random);
     }
     if (!route) {
       return notRunReply("no_route");
@@ -153,7 +154,7 @@
     }
     const found = directory.routeSettings(route);
     if (!found) {
-      return notRunReply("not_ready");
+      return notReadyReply(random);
     }
     const { service, route: settings } = found;
     const startedAt = call.arrivedAt ?? timer.now();
