--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -20,7 +20,6 @@
 import type { Dispatcher } from "./dispatcher.ts";
 import { createHedger, discard } from "./hedge.ts";
 import type { IngressParts } from "./parts.ts";
-import { retryAfterStart, spreadOut } from "./retry_after.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import { isQueueRefusal } from "./refusal_causes.ts";
 import { createSearch } from "./search.ts";
@@ -34,6 +33,8 @@
   nextOrder: () => number;
 }
 
+/** Largest random share that is added to the retry-after time. */
+const RETRY_AFTER_JITTER = 0.5;
 /** Wait in a guard's queue after which no other guard is tried. */
 const LONG_WAIT_MS = 30;
 
@@ -221,8 +222,11 @@
       : end.cause;
   }
 
+  /**
+   * Adds jitter to a retry-after time, so that callers do not retry together.
+   */
   function addJitter(ms: number): number {
-    return spreadOut(ms, parts.random);
+    return ms * (1 + RETRY_AFTER_JITTER * parts.random.fraction());
   }
 
   /** Creates the reply to a request that no backend server answered. */
@@ -239,10 +243,7 @@
         : unknownReply(cause, attempts);
     }
     if (!last || last.kind === "answer") {
-      return deadlinePassed ? notRunReply("no_time") : notRunReply(
-        "no_backend_server",
-        { attempts, retryAfterMs: retryAfterStart(parts.random) },
-      );
+      return notRunReply(deadlinePassed ? "no_time" : "no_backend_server");
     }
     const retryAfterMs = last.kind === "not_run"
       ? addJitter(last.retryAfterMs)
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -17,7 +17,6 @@
 import { createKeyedCalls } from "./keyed_calls.ts";
 import type { FrameOptions, IngressOptions, IngressParts } from "./parts.ts";
 import { createPlacement } from "./placement.ts";
-import { notReadyReply } from "./retry_after.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import { createSpentTime } from "./spent_time.ts";
 
@@ -144,7 +143,7 @@
       randomFraction: random.fraction,
     });
     if (!directory.global) {
-      return notReadyReply(random);
+      return notRunReply("not_ready");
     }
     if (!route) {
       return notRunReply("no_route");
@@ -154,7 +153,7 @@
     }
     const found = directory.routeSettings(route);
     if (!found) {
-      return notReadyReply(random);
+      return notRunReply("not_ready");
     }
     const { service, route: settings } = found;
     const startedAt = call.arrivedAt ?? timer.now();
