Answer syncs without a leader at once again

A trial with log lines shows that all nodes wait at the replica that listens first, and that the time goes to the entries which leader and followers apply one after the other.

--- a/src/control/leader_calls.ts
+++ b/src/control/leader_calls.ts
@@ -64,10 +64,9 @@
    * Whether this replica now has all entries that were accepted before the
    * call. The wait ends without a confirmation if the leader does not answer in
    * time, if this replica does not catch up in time, or if it stops; the reply
-   * to a node then states that its view is not confirmed. Without an answer it
-   * asks again until `waitMs` have passed, by default not at all.
+   * to a node then states that its view is not confirmed.
    */
-  confirmRead(waitMs?: number): Promise<boolean>;
+  confirmRead(): Promise<boolean>;
 }
 
 /** Converts a result of the replica into the reply that callers receive. */
@@ -139,7 +138,7 @@
     return false;
   }
 
-  const reads = createReadConfirmations({ timer, signal, confirmOnce });
+  const reads = createReadConfirmations({ timer, confirmOnce });
 
   return {
     isLeader,
@@ -147,6 +146,6 @@
     confirmLocally,
     propose: async <T>(command: Command) =>
       toLeaderReply(await replica.propose(command) as Result<T, ProposalError>),
-    confirmRead: (waitMs = 0) => reads.confirm(waitMs),
+    confirmRead: reads.confirm,
   };
 }
--- a/src/control/node_handlers.ts
+++ b/src/control/node_handlers.ts
@@ -26,12 +26,6 @@
 import { createRoutePacker } from "./route_packing.ts";
 import type { ControlState } from "./state.ts";
 
-/**
- * Time for which a sync that needs a confirmed view waits for a leader. It is
- * below the timeout of a node's syncs.
- */
-const CONFIRMATION_WAIT_MS = 500;
-
 /** Components that the handlers use. */
 export interface NodeHandlerParts {
   rpc: Rpc;
@@ -70,9 +64,7 @@
       leases.queueRenewal(renewal);
     }
     void archive.add(readEvents(request.node, events));
-    const confirmed = confirm
-      ? await calls.confirmRead(CONFIRMATION_WAIT_MS)
-      : false;
+    const confirmed = confirm ? await calls.confirmRead() : false;
     return {
       confirmed,
       stalenessMs: Math.min(replica.stalenessMs(), Number.MAX_SAFE_INTEGER),
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -177,7 +177,10 @@
     await serial.run(syncOnce);
   }
 
-  /** Pause after a sync. One that waited for a leader in vain needs none. */
+  /**
+   * Pause after a sync. While the view is unconfirmed it counts from the sync's
+   * start, so that a replica that answers late does not delay the next question.
+   */
   function pauseMs(startedAt: number): number {
     return confirmed
       ? intervalMs()
