Look for an incomplete event without stalling the start of a replica

It goes by slices of 64 KiB now, and other tasks run in between.

Red with one slice: "a start with a full segment lets other tasks run".

--- a/src/account/account_test.ts
+++ b/src/account/account_test.ts
@@ -85,6 +85,29 @@
   t.same((await restarted.find({})).at(-1)?.requestId, "restarted");
 });
 
+test("a start with a full segment lets other tasks run", async (t) => {
+  const disk = createFakeDisk();
+  const timer = createFakeTimer();
+  const open = () =>
+    createArchive({ disk, logger: silentLogger, timer, segmentBytes: 1 << 24 });
+  const cause = "x".repeat(1_000);
+  const events = Array.from(
+    { length: 3_000 },
+    (_, index) => eventAt(index, { cause }),
+  );
+  const first = open().add(events);
+  await timer.advance(1_000);
+  await first;
+  let turns = 0;
+  const counting = setInterval(() => turns++, 0);
+  t.teardown(() => clearInterval(counting));
+  const second = open().add([eventAt(9_999)]);
+  await timer.advance(1_000);
+  await second;
+  t.ok(turns > 10, `${turns} turns of the event loop`);
+  t.equal((await open().find({ since: 9_999 })).length, 1);
+});
+
 test("a failed write counts its events as dropped and does not reject", async (t) => {
   const disk = createFakeDisk();
   disk.failFrom(1, "no space left on device");
--- a/src/account/archive.ts
+++ b/src/account/archive.ts
@@ -15,6 +15,8 @@
 const CURRENT_FILE = "account";
 const PREVIOUS_FILE = "account.previous";
 const MAX_RESULTS = 2_000;
+/** Bytes of a segment that are decoded at once; an event is far smaller. */
+const SLICE_BYTES = 64 * 1024;
 /** Shortest time between two writes. */
 const WRITE_INTERVAL_MS = 500;
 /** Events that may wait for the next write; further ones are dropped. */
@@ -67,6 +69,23 @@
   return segment;
 }
 
+/**
+ * Returns the size of the whole events at the start of a segment. It lets other
+ * tasks run in between, since a full segment takes longer than an election.
+ */
+async function findWholeSize(content: Uint8Array): Promise<number> {
+  let size = 0;
+  while (size < content.length) {
+    const { bytes } = decodeSegment(content.subarray(size, size + SLICE_BYTES));
+    size += bytes;
+    if (bytes === 0 || size === content.length) {
+      break;
+    }
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  return size;
+}
+
 /** Creates an archive. */
 export function createArchive(options: ArchiveOptions): Archive {
   const { disk, logger, timer, segmentBytes } = options;
@@ -90,9 +109,9 @@
 
   /** Removes an incomplete event at the end; returns the size of the rest. */
   async function cutIncompleteEvent(): Promise<number> {
-    const content = await disk.read(CURRENT_FILE);
-    const { bytes } = decodeSegment(content);
-    if (content && bytes < content.length) {
+    const content = await disk.read(CURRENT_FILE) ?? new Uint8Array();
+    const bytes = await findWholeSize(content);
+    if (bytes < content.length) {
       await disk.truncate(CURRENT_FILE, bytes);
     }
     return bytes;
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -18,7 +18,10 @@
   readonly refusing: boolean;
   /** The latest request that is handled, and its response. */
   readonly latest: Exchange | undefined;
-  /** Ignores requests that arrive from now on; a caller closes the connection. */
+  /**
+   * Ignores requests that arrive from now on. Whoever calls this also has the
+   * connection closed after the pending responses.
+   */
   refuseRequests(): void;
   /**
    * Calls `task` once the responses to all requests before that of `response`
@@ -46,7 +49,7 @@
 interface TrackedConnection extends Connection {
   /** Adds a request and its response. */
   add(exchange: Exchange): void;
-  /** Drops what waits for responses, which the closed socket does not send. */
+  /** Called when the socket has closed: forgets its responses and waiting tasks. */
   drop(): void;
 }
 
