Give a slow peer more time with each question

A replica on a slow machine, or beside peers on slow ones, might never have heard that its disk is current, and so never have entered.

Red without the doubling: "replicas that answer slowly hear that their disks are current" timed out.

--- a/src/control/startup_identity.ts
+++ b/src/control/startup_identity.ts
@@ -12,11 +12,12 @@
 import { helloMethod } from "./methods.ts";
 
 /**
- * Timeout of one question to a peer, in milliseconds. A machine that has no power
- * when it is called loses the connection's first packet, which is sent again a
- * second later; a new connection finds the machine sooner.
+ * Timeout of the first question to a peer, in milliseconds; it doubles with each
+ * further one, up to that of a call. A machine that has no power when it is
+ * called loses the connection's first packet, which is sent again a second
+ * later; a new connection finds the machine sooner. A slow one needs the time.
  */
-const HELLO_TIMEOUT_MS = 200;
+const FIRST_HELLO_TIMEOUT_MS = 200;
 /** Pause before peers are called again, in milliseconds. */
 const RETRY_PAUSE_MS = 50;
 /**
@@ -77,7 +78,7 @@
   options: IdentityOptions,
 ): Promise<ResolvedIdentity> {
   const { vm, address, founders, recovered, store, random, logger } = options;
-  const { rpc, timer, signal } = options;
+  const { rpc, timer, signal, callMs } = options;
   const clusterName = Object.keys(founders).sort().join(",");
 
   /** Name under which the settings list this replica as a founder. */
@@ -85,7 +86,10 @@
     return Object.keys(founders).find((name) => founders[name] === address);
   }
 
-  async function callPeer(peer: string): Promise<HelloReply | undefined> {
+  async function callPeer(
+    peer: string,
+    timeoutMs = callMs,
+  ): Promise<HelloReply | undefined> {
     const last = recovered.entries.at(-1)?.index ??
       recovered.snapshot?.index ?? 0;
     const reply = await rpc.call({
@@ -96,7 +100,7 @@
         lastIndex: last,
         term: recovered.vote.term,
       },
-      timeoutMs: Math.min(HELLO_TIMEOUT_MS, options.callMs),
+      timeoutMs,
     });
     if (reply.isErr()) {
       return undefined;
@@ -108,7 +112,7 @@
 
   /** Calls peers once, and resolves with the replies of those that answer. */
   async function callPeers(peers: string[]): Promise<HelloReply[]> {
-    const replies = await Promise.all(peers.map(callPeer));
+    const replies = await Promise.all(peers.map((peer) => callPeer(peer)));
     return replies.filter((reply) => reply !== undefined);
   }
 
@@ -129,8 +133,10 @@
         resolve(replies);
       }
       async function callUntilReply(peer: string): Promise<void> {
+        let timeoutMs = FIRST_HELLO_TIMEOUT_MS;
         while (!ended && !signal.aborted) {
-          const reply = await callPeer(peer);
+          const reply = await callPeer(peer, Math.min(timeoutMs, callMs));
+          timeoutMs *= 2;
           if (reply) {
             replies.push(reply);
             break;
--- a/tests/control/staggered_start_test.ts
+++ b/tests/control/staggered_start_test.ts
@@ -8,6 +8,8 @@
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 const START_GAP_MS = 90;
+/** One way of a slow question; both together are within a call's timeout. */
+const SLOW_HELLO_MS = 220;
 /** Time from the start of a quorum to a leader. */
 const LEADER_LIMIT_MS = 400;
 
@@ -63,3 +65,24 @@
     });
   }
 }
+
+test("replicas that answer slowly hear that their disks are current", async (t) => {
+  const harness = createHarness({ seed: 7, replicas: 3 });
+  await harness.startCluster();
+  const names = harness.cluster.vms.map(({ name }) => name);
+  names.forEach((name) => harness.cluster.kill(name));
+  const decide = harness.rpc.decideDelivery;
+  harness.rpc.decideDelivery = (message) => ({
+    ...decide(message),
+    delayMs: message.method === "hello" ? SLOW_HELLO_MS : 1,
+  });
+  for (const name of names) {
+    await harness.cluster.start(name);
+  }
+  await harness.until(
+    "there is a leader",
+    () => harness.cluster.leader() !== undefined,
+  );
+  await harness.waitForConvergence();
+  t.same(harness.findViolations(), []);
+});
