--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -9,6 +9,7 @@
 import { removeHopByHopHeaders } from "../core/headers.ts";
 import { type Cancellation, createCanceller } from "../core/cancellation.ts";
 import { errorFields, StepError } from "../core/errors.ts";
+import { createRateLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { Call, Reply } from "../ingress/call.ts";
@@ -31,6 +32,7 @@
 
 /** Path of a node's readiness check. */
 export const HEALTH_PATH = "/_mustardcross/health";
+const MAX_MALFORMED_LOG_LINES_PER_S = 5;
 const MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
 const BODILESS_STATUSES = new Set([204, 304]);
 
@@ -65,6 +67,11 @@
   const dialect = options.dialect ?? new DefaultCallerDialect();
   /** By connection, a cancellation that fires when the connection ends. */
   const disconnects = new WeakMap<Socket, Cancellation>();
+  const malformedLog = createRateLimitedLog({
+    timer,
+    logger,
+    perSecond: MAX_MALFORMED_LOG_LINES_PER_S,
+  });
   let stopping = false;
 
   async function readCall(
@@ -203,6 +210,14 @@
     sendText(response, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
   }
 
+  function noteMalformed(code: string, socket: Socket): void {
+    node.metrics.count("malformed_requests");
+    malformedLog.info("caller.malformed_request", {
+      peer: `${socket.remoteAddress}:${socket.remotePort}`,
+      code,
+    });
+  }
+
   const server = createHttpServer((request, response) => {
     if (request.url === HEALTH_PATH) {
       sendHealth(response);
@@ -212,7 +227,7 @@
       logger.warn("caller.request_failed", errorFields(error));
       abortResponse(response);
     });
-  });
+  }, { onMalformed: noteMalformed });
 
   server.on("connection", (socket) => {
     lag.recordAccept();
--- a/src/http/input_errors.ts
+++ b/src/http/input_errors.ts
@@ -56,8 +56,14 @@
   }
 }
 
-/** Handles the errors of a server's clients. */
-export function handleInputErrors(server: Server): void {
+/**
+ * Handles the errors of a server's clients. `onMalformed` is called once for a
+ * connection whose input fails, with the code of the error.
+ */
+export function handleInputErrors(
+  server: Server,
+  onMalformed: (code: string, socket: Socket) => void,
+): void {
   /** Sockets whose input has failed; the parser fails again with all that follows. */
   const failed = new WeakSet<Socket>();
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -72,6 +78,7 @@
       return;
     }
     failed.add(socket);
+    onMalformed(code, socket);
     connection.refuseRequests();
     const { latest } = connection;
     if (latest && !latest.request.complete) {
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as NetServer } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { StepError } from "../core/errors.ts";
 import { splitAddress } from "../network/channel.ts";
 import {
@@ -32,8 +32,20 @@
   response: ServerResponse,
 ) => void;
 
+/** Options of {@link createHttpServer}. */
+export interface HttpServerOptions {
+  /**
+   * Called once for a connection on which a malformed request came, or one that
+   * did not end in time, with the code of the error.
+   */
+  onMalformed?: (code: string, socket: Socket) => void;
+}
+
 /** Creates an HTTP server that does not listen yet. */
-export function createHttpServer(handler: HttpHandler): Server {
+export function createHttpServer(
+  handler: HttpHandler,
+  { onMalformed = () => {} }: HttpServerOptions = {},
+): Server {
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
@@ -44,7 +56,7 @@
     noDelay: true,
   });
   trackConnections(server, handler);
-  handleInputErrors(server);
+  handleInputErrors(server, onMalformed);
   return server;
 }
 
--- a/tests/http/http_apis_test.ts
+++ b/tests/http/http_apis_test.ts
@@ -288,6 +288,12 @@
     t.match(received, /^HTTP\/1\.1 431 /);
   });
 
+  await t.test("malformed requests are counted", async (t) => {
+    const text = await (await request(`${harness.local}/metrics`)).body.text();
+    const [, count] = /malformed_requests_total (\d+)/.exec(text) ?? [];
+    t.equal(count, "5", "four that smuggle, and one with oversized headers");
+  });
+
   await t.test("a request counts for the workspace that its header names", async (t) => {
     const answer = await request(`${harness.caller}/work/none`, {
       headers: { "x-own": "1", "mustardcross-tenant": "ward" },
