--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -593,14 +593,34 @@
     return { requestId, ...answer };
   }
 
+  /**
+   * Sends an idempotent request, and once more after a refusal, when the answer
+   * says so or at once. Resolves with whether it was served.
+   */
+  async function sendWithRetry(side, options) {
+    const { timeoutMs = 500 } = options;
+    const startedAt = performance.now();
+    const first = await send(side, options);
+    if (first.status === 200) {
+      return true;
+    }
+    const leftMs = timeoutMs - (performance.now() - startedAt);
+    const afterMs = Number(first.headers?.["retry-after"] ?? 0) * 1_000;
+    await sleep(Math.min(afterMs, leftMs / 3));
+    const remainingMs = Math.floor(timeoutMs - (performance.now() - startedAt));
+    return remainingMs > 0 &&
+      (await send(side, { ...options, timeoutMs: remainingMs })).status === 200;
+  }
+
   return {
     sent,
     send,
+    sendWithRetry,
     /**
      * Sends `perSecond` requests on average until `stop`, at random times as
      * many independent requesters do. Returns a function that ends it.
      */
-    start(side, { perSecond, ...options }) {
+    start(side, { perSecond, by = send, ...options }) {
       let next = performance.now();
       let count = 0;
       const timer = setInterval(() => {
@@ -608,7 +628,7 @@
           next -= Math.log(1 - Math.random()) * 1_000 / perSecond;
           count++;
           const path = typeof options.path === "function" ? options.path(count) : options.path;
-          loops.push(send(side, { ...options, path }));
+          loops.push(by(side, { ...options, path }));
         }
       }, 2);
       return () => clearInterval(timer);
