--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,10 +1,13 @@
 /**
- * Starved: after the upstreams of a zone were down together, a request that
- * many requesters send alike is refused everywhere, though it crashes nothing.
+ * DRAIN: after a restart of the node beside it, an upstream that was
+ * acknowledged as gone gets requests again, because an earlier heartbeat of it
+ * arrives late.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import {
+  BOUNDS,
+  call,
   createOperator,
   createRequester,
   LIMITS,
@@ -18,104 +21,88 @@
 } from "../lib/site.mjs";
 
 const ZONES = ["rajkot-east", "rajkot-west", "morbi-road"];
-/** Zones of the upstreams of billing, as in the site file. */
-const UPSTREAM_ZONES = [
-  "rajkot-east",
-  "rajkot-east",
-  "rajkot-west",
-  "rajkot-west",
-  "rajkot-west",
-  "morbi-road",
-];
-const DOWN_ZONE = "rajkot-west";
-const DOWN_MS = 4_500;
-const COLD_MS = 3_000;
 const SERVICE = "billing";
-/** Requests a second of each kind at each machine. */
-const PER_SECOND = 10;
-/** The path that all requesters of the first kind ask for. */
-const TARIFF = "/tariff/current";
-const WORK_MS = { tariff: 240, look: 60 };
-const BEFORE_MS = 6_000;
-const AFTER_MS = 80_000;
-/** Share of the service of all requests below which a kind is starved. */
-const LEAST_SHARE = 0.25;
+/** Time from the acknowledgement until the upstream exits. */
+const SERVES_ON_MS = 16_000;
+/** TROUBLE=restart and TROUBLE=late make only one of the two disruptions. */
+const RESTART = TROUBLE && process.env.TROUBLE !== "late";
+const LATE_BEAT = TROUBLE && process.env.TROUBLE !== "restart";
+/** Pause before the platform starts a process again. */
+const RESTART_PAUSE_MS = 200;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, startSite }) => {
   const site = await startSite({
     zones: ZONES,
     controls: ZONES,
-    nodes: UPSTREAM_ZONES.map((zone) => ({ zone, service: SERVICE })),
+    nodes: ZONES.map((zone) => ({ zone, service: SERVICE })),
   });
   const operator = createOperator(site.cores, record);
-  await operator.putManifest(1, 0, [
-    route("tariff", { service: SERVICE, timeout: "1500ms" }),
-    route("look", { service: SERVICE }),
-    service(SERVICE),
-    LIMITS,
-  ]);
+  await operator.putManifest(1, 0, [route("look", { service: SERVICE }), service(SERVICE), LIMITS]);
   await waitUntilReady(site.sides);
   const upstreams = [];
-  async function startAt(index, start, coldMs) {
-    const upstream = await startUpstream(site.sides[index], {
-      record,
-      id: `i-${index + 1}-${start}`,
-      workOf: ({ url }) => url.startsWith("/tariff/") ? WORK_MS.tariff : WORK_MS.look,
-    });
-    const coldUntil = record.now() + coldMs;
-    upstream.coldMs = () => Math.max(0, coldUntil - record.now());
+  for (const [index, side] of site.sides.entries()) {
+    const upstream = await startUpstream(side, { record, id: `i-${index + 1}` });
     void upstream.beat();
-    upstreams[index] = upstream;
+    upstreams.push(upstream);
   }
-  for (const index of site.sides.keys()) {
-    await startAt(index, 1, 0);
-  }
-  await sleep(4_000);
+  await sleep(5_000);
   const requester = createRequester(record);
-  const asked = { tariff: 0, look: 0 };
-  const served = { tariff: 0, look: 0 };
-  let servedAfter = 0;
-  let backAt = Infinity;
-  async function ask(kind, side, options) {
-    asked[kind]++;
-    const isServed = await requester.sendWithRetry(side, options);
-    served[kind] += isServed ? 1 : 0;
-    servedAfter += isServed && kind === "tariff" && record.now() > backAt ? 1 : 0;
-  }
   for (const side of site.sides) {
-    requester.start(side, {
-      perSecond: PER_SECOND, path: TARIFF, timeoutMs: 1_500,
-      by: (to, options) => ask("tariff", to, options),
-    });
-    requester.start(side, {
-      perSecond: PER_SECOND, path: (n) => `/look/${n}`, timeoutMs: 500,
-      by: (to, options) => ask("look", to, options),
-    });
+    requester.start(side, { perSecond: 15, path: (n) => `/look/${n}` });
+  }
+  await sleep(2_000);
+
+  const [leaving] = upstreams;
+  const { side } = leaving;
+  leaving.beating = false;
+  // This heartbeat is on its way for some seconds.
+  const lateBeat = leaving.nextBeat("ready");
+  await sleep(200);
+  leaving.state = "leaving";
+  const gone = await call(side.control, { method: "DELETE", path: `/instances/${leaving.id}` });
+  const acknowledgedAt = record.now();
+  record.write("leave", { upstream: leaving.id, answer: gone.status });
+  if (gone.status !== 200) {
+    throw new Error("the leave was not acknowledged");
   }
-  await sleep(BEFORE_MS);
-  const down = [...site.sides.keys()].filter((index) => UPSTREAM_ZONES[index] === DOWN_ZONE);
-  if (TROUBLE) {
-    down.forEach((index) => upstreams[index].crash());
+  const exits = sleep(SERVES_ON_MS).then(leaving.crash);
+  await sleep(300);
+  let startedAt = record.now();
+  if (RESTART) {
+    const { exited } = side;
+    site.signal(side, "SIGTERM");
+    await exited;
+    await sleep(RESTART_PAUSE_MS);
+    site.start(side);
+    startedAt = record.now();
+    await waitUntilReady([side]);
+  } else {
+    await sleep(3_300);
   }
-  await sleep(DOWN_MS);
-  if (TROUBLE) {
-    await Promise.all(down.map((index) => startAt(index, 2, COLD_MS)));
+  if (LATE_BEAT) {
+    await leaving.sendBeat(lateBeat, "late");
   }
-  backAt = record.now();
-  await sleep(AFTER_MS);
+  await exits;
   await requester.stop();
-  const shareOf = (kind) => served[kind] / asked[kind];
-  const shareOfAll = (served.tariff + served.look) / (asked.tariff + asked.look);
-  const broken = shareOf("tariff") < LEAST_SHARE * shareOfAll;
-  const percent = (share) => `${(share * 100).toFixed(1)} %`;
+  // The machine that starts again is in touch after the stability window.
+  const bindsAt = Math.max(
+    acknowledgedAt + BOUNDS.drainMs,
+    startedAt + BOUNDS.stabilityWindowMs,
+  );
+  const late = leaving.ran.filter(({ at, requestId }) =>
+    at > bindsAt && requester.sent.get(requestId)?.at > bindsAt
+  );
+  const answered = [...requester.sent.values()].filter(({ status }) => status === 200).length;
   return {
-    broken,
+    broken: late.length > 0,
     lines: [
-      `tariff: ${served.tariff} of ${asked.tariff} served (${percent(shareOf("tariff"))}), ` +
-      `${servedAfter} of them after the upstreams were back`,
-      `look: ${served.look} of ${asked.look} served (${percent(shareOf("look"))})`,
-      `all: ${percent(shareOfAll)}; a kind is starved below ${percent(LEAST_SHARE * shareOfAll)}`,
-      broken ? "Starved broken" : "Starved held",
+      `${requester.sent.size} requests, ${answered} answered with 200`,
+      `${leaving.id} acknowledged as gone at ${acknowledgedAt}, ${
+        RESTART ? `its node started again at ${startedAt}` : "its node not restarted"
+      }`,
+      `requests that reached it after ${bindsAt}: ${late.length}` +
+      (late.length > 0 ? `, the first at ${late[0].at}` : ""),
+      late.length > 0 ? "DRAIN broken" : "DRAIN held",
     ],
   };
 });
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,6 +1,6 @@
 /**
- * FAILBACK: an upstream that turns cold again while it serves gets its usual
- * rate until its next heartbeat.
+ * BUDGET: nodes that were restarted in turn have forgotten a request that
+ * crashes upstreams, and each of them runs it again.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -15,110 +15,104 @@
   sleep,
   startUpstream,
   TROUBLE,
+  until,
   waitUntilReady,
 } from "../lib/site.mjs";
 
 const ZONES = ["rajkot-east", "rajkot-west", "morbi-road"];
 const SERVICE = "billing";
-const WARM_WORK_MS = 40;
-/** Factor by which a cold upstream is slower, as in the site file. */
-const COLD_FACTOR = 2;
-const COLD_MS = 3_000;
-/** Requests a second to the first machine; its upstream can run 300. */
-const PER_SECOND = 180;
-/** Requests a second to each other machine. */
-const OTHERS_PER_SECOND = 30;
-/** Times at which the upstream turns cold, after the load has begun. */
-const ROUNDS = 6;
-const ROUND_MS = 7_000;
-const WINDOW_MS = 1_000;
-/** Requests in a second, twice what it tolerates, at which a cold upstream crashes. */
-const CRASHES_AT = 2 * BOUNDS.coldPerS;
+const NODES = 10;
+/** The path of the request that crashes each upstream that begins to run it. */
+const POISON = "/look/ledger-0000";
 /** Time for which a crashed upstream is down. */
 const DOWN_MS = 2_000;
-const MOST = BOUNDS.coldPerS * BOUNDS.coldBurstFactor + BOUNDS.coldSlack;
-
-/** The largest number of requests that were sent and arrived within a second. */
-function busiestWindow(arrivals) {
-  const counts = arrivals.map(({ at: end }) =>
-    arrivals.filter(({ at, sentAt }) => sentAt >= end - WINDOW_MS && at <= end).length
-  );
-  return Math.max(0, ...counts);
-}
+/** Crashes after which the rule counts. */
+const FREE_CRASHES = 3;
+/** Retries that the rule allows after that. */
+const MOST = 3;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, startSite }) => {
   const site = await startSite({
     zones: ZONES,
     controls: ZONES,
-    nodes: ZONES.map((zone) => ({ zone, service: SERVICE })),
+    nodes: Array.from({ length: NODES }, (_, index) => ({ zone: ZONES[index % 3], service: SERVICE })),
   });
   const operator = createOperator(site.cores, record);
-  await operator.putManifest(1, 0, [route("look", { service: SERVICE }), service(SERVICE), LIMITS]);
+  await operator.putManifest(1, 0, [
+    route("look", { service: SERVICE }),
+    service(SERVICE),
+    LIMITS,
+  ]);
   await waitUntilReady(site.sides);
-  const upstreams = [];
   const crashes = [];
+  /** When the process of a machine last was started or stopped. */
+  const disturbedAt = new Map();
 
-  /** Starts an upstream that is cold until `coldUntil`, and crashes as PROTOCOL.md says. */
-  async function startAt(index, start, coldUntil) {
-    const upstream = await startUpstream(site.sides[index], {
-      record,
-      id: `i-${index + 1}-${start}`,
-      workOf: () => upstream.coldMs() > 0 ? WARM_WORK_MS * COLD_FACTOR : WARM_WORK_MS,
-    });
-    upstream.coldMs = () => Math.max(0, coldUntil - record.now());
-    upstream.onRun = () => {
-      const since = record.now() - WINDOW_MS;
-      const count = upstream.arrived.filter(({ at }) => at > Math.max(since, upstream.coldFrom ?? 0)).length;
-      if (upstream.coldMs() === 0 || count < CRASHES_AT) {
+  async function startAt(side, index, start) {
+    const upstream = await startUpstream(side, { record, id: `i-${index + 1}-${start}` });
+    upstream.onRun = ({ requestId, path }) => {
+      if (path !== POISON) {
         return false;
       }
-      crashes.push(record.now());
+      crashes.push({ at: record.now(), requestId, side: side.name });
+      record.write("crash", { upstream: upstream.id, request: requestId });
       upstream.crash();
-      setTimeout(() => void startAt(index, start + 1, record.now() + COLD_MS), DOWN_MS);
+      setTimeout(() => void startAt(side, index, start + 1), DOWN_MS);
       return true;
     };
     void upstream.beat();
-    upstreams[index] = upstream;
   }
-  for (const index of site.sides.keys()) {
-    await startAt(index, 1, 0);
+  for (const [index, side] of site.sides.entries()) {
+    await startAt(side, index, 1);
   }
   await sleep(5_000);
   const requester = createRequester(record);
-  for (const [index, side] of site.sides.entries()) {
-    const perSecond = index === 0 ? PER_SECOND : OTHERS_PER_SECOND;
-    requester.start(side, { perSecond, path: (n) => `/look/${n}` });
+  for (const side of site.sides) {
+    requester.start(side, { perSecond: 8, path: (n) => `/look/${n}` });
   }
-  await sleep(6_000);
-  const lines = [];
-  let broken = false;
-  for (let round = 0; round < ROUNDS; round++) {
-    const [cold] = upstreams;
-    const from = record.now();
-    const to = from + COLD_MS;
+  await sleep(1_000);
+  const poisonSent = [];
+  async function sendPoison(side) {
+    const answer = await requester.send(side, { path: POISON });
+    poisonSent.push(answer);
+    record.write("poison", { to: side.name, status: answer.status });
+  }
+  // It comes until it is held back everywhere.
+  for (const side of site.sides) {
+    await sendPoison(side);
+    await sleep(700);
+  }
+  const crashesBefore = crashes.length;
+  for (const side of site.sides) {
     if (TROUBLE) {
-      record.write("turns_cold", { upstream: cold.id });
-      cold.coldFrom = from;
-      cold.coldMs = () => Math.max(0, to - record.now());
+      const { exited } = side;
+      disturbedAt.set(side.name, record.now());
+      site.signal(side, "SIGTERM");
+      await exited;
+      await sleep(200);
+      site.start(side);
+      disturbedAt.set(side.name, record.now());
+      await waitUntilReady([side]);
     }
-    await sleep(ROUND_MS + Math.random() * BOUNDS.heartbeatMs);
-    // Only what was sent and arrived while the upstream was cold.
-    const arrivals = cold.arrived
-      .map(({ at, requestId }) => ({ at, sentAt: requester.sent.get(requestId)?.at }))
-      .filter(({ at, sentAt }) => sentAt >= from && at <= to);
-    const most = TROUBLE ? busiestWindow(arrivals) : 0;
-    broken ||= most > MOST;
-    lines.push(`${cold.id}: cold from ${from} to ${to}: at most ${most} requests in a second, ${MOST} are allowed`);
+    // The machine is in touch again before the request comes to it.
+    await sleep(BOUNDS.stabilityWindowMs + 500);
+    await sendPoison(side);
   }
+  await sleep(1_000);
   await requester.stop();
-  const answered = [...requester.sent.values()].filter(({ status }) => status === 200).length;
+  const third = crashes[FREE_CRASHES - 1]?.at ?? Infinity;
+  const counted = crashes.filter(({ at, side }) =>
+    at > third + BOUNDS.stabilityWindowMs &&
+    at > (disturbedAt.get(side) ?? -Infinity) + BOUNDS.stabilityWindowMs
+  );
+  const broken = counted.length > MOST;
   return {
     broken,
     lines: [
-      `${requester.sent.size} requests, ${answered} answered with 200`,
-      ...(TROUBLE ? lines : ["no upstream was cold"]),
-      `crashes of the cold upstream: ${crashes.length}`,
-      broken ? "FAILBACK broken" : "FAILBACK held",
+      `the request came ${poisonSent.length} times; crashes before the restarts: ${crashesBefore}, in all: ${crashes.length}`,
+      `retries that reached an upstream later than ${third + BOUNDS.stabilityWindowMs}, from machines in touch: ` +
+      `${counted.length}, ${MOST} are allowed`,
+      broken ? "BUDGET broken" : "BUDGET held",
     ],
   };
 });
