--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -107,8 +107,18 @@
     options;
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
-    const sent = request({ host, port, method, path, headers, agent: options.agent ?? false });
-    const timer = setTimeout(() => sent.destroy(new Error("no answer in time")), timeoutMs);
+    const sent = request({
+      host,
+      port,
+      method,
+      path,
+      headers,
+      agent: options.agent ?? false,
+    });
+    const timer = setTimeout(
+      () => sent.destroy(new Error("no answer in time")),
+      timeoutMs,
+    );
     let done = false;
     function end(result) {
       if (!done) {
@@ -185,14 +195,30 @@
     throw new Error("the build of the deploy file was not run");
   }
   const folder = mkdtempSync(join(tmpdir(), "mustardcross-review-"));
-  const { network, first } = await findNetwork(controls.length + nodes.length, 7);
+  const { network, first } = await findNetwork(
+    controls.length + nodes.length,
+    7,
+  );
   const port = {
-    cluster: first, clusterEnd: first + 1, control: first + 2, ready: first + 3,
-    outbound: first + 4, inbound: first + 5, app: first + 6,
+    cluster: first,
+    clusterEnd: first + 1,
+    control: first + 2,
+    ready: first + 3,
+    outbound: first + 4,
+    inbound: first + 5,
+    app: first + 6,
   };
   const machines = [
-    ...controls.map((zone, index) => ({ role: "control", zone, name: `core-${index + 1}` })),
-    ...nodes.map((node, index) => ({ role: "node", ...node, name: `side-${index + 1}` })),
+    ...controls.map((zone, index) => ({
+      role: "control",
+      zone,
+      name: `core-${index + 1}`,
+    })),
+    ...nodes.map((node, index) => ({
+      role: "node",
+      ...node,
+      name: `side-${index + 1}`,
+    })),
   ];
   machines.forEach((machine, index) => {
     machine.ip = `${network}.${index + 1}`;
@@ -220,10 +246,18 @@
 seeds = [${seeds.map((seed) => `"${seed}"`).join(", ")}]
 domains = [${zones.map((zone) => `"${zone}"`).join(", ")}]
 bootstrap = ${machine.starts === 0}
-${isNode ? `service = "${machine.service}"\nserver_address = "${machine.app}"` : `data = "${data}"`}
+${
+      isNode
+        ? `service = "${machine.service}"\nserver_address = "${machine.app}"`
+        : `data = "${data}"`
+    }
 
 [listen]
-${isNode ? `inbound = "${machine.inbound}"\noutbound = "${machine.outbound}"\nready = "${machine.ready}"` : ""}
+${
+      isNode
+        ? `inbound = "${machine.inbound}"\noutbound = "${machine.outbound}"\nready = "${machine.ready}"`
+        : ""
+    }
 control = "${machine.control}"
 
 [bounds]
@@ -313,7 +347,8 @@
   for (const side of sides) {
     await until(
       `${side.name} to be ready`,
-      async () => (await call(side.ready, { path: "/readiness" })).status === 200,
+      async () =>
+        (await call(side.ready, { path: "/readiness" })).status === 200,
       timeoutMs,
     );
   }
@@ -324,13 +359,28 @@
   return number.toString(16).padStart(8, "0");
 }
 
-export function route(name, { kind = "idempotent", service, timeout = "500ms", attempts = 2, priority = 2 }) {
+export function route(
+  name,
+  {
+    kind = "idempotent",
+    service,
+    timeout = "500ms",
+    attempts = 2,
+    priority = 2,
+  },
+) {
   return {
     type: "routes",
     metadata: { name: `r-${name}` },
     spec: {
-      host: "ficu95.example", path_prefix: `/${name}/`, kind, timeout,
-      target_latency: "200ms", priority, service, max_attempts: attempts,
+      host: "ficu95.example",
+      path_prefix: `/${name}/`,
+      kind,
+      timeout,
+      target_latency: "200ms",
+      priority,
+      service,
+      max_attempts: attempts,
     },
   };
 }
@@ -340,8 +390,13 @@
     type: "services",
     metadata: { name },
     spec: {
-      health_path: "/health", max_connections: 240, protocol: "h1", tls: false,
-      cold_start: "3s", cold_per_s: BOUNDS.coldPerS, ...change,
+      health_path: "/health",
+      max_connections: 240,
+      protocol: "h1",
+      tls: false,
+      cold_start: "3s",
+      cold_per_s: BOUNDS.coldPerS,
+      ...change,
     },
   };
 }
@@ -350,8 +405,10 @@
   type: "limits",
   metadata: {},
   spec: {
-    max_header_bytes: 16384, max_body_bytes: 67108864,
-    header_timeout: "3000ms", idle_timeout: "15000ms",
+    max_header_bytes: 16384,
+    max_body_bytes: 67108864,
+    header_timeout: "3000ms",
+    idle_timeout: "15000ms",
   },
 };
 
@@ -366,11 +423,15 @@
     const answer = await call(machine.control, {
       method,
       path,
-      headers: body === undefined ? headers : { "content-type": "application/json", ...headers },
+      headers: body === undefined
+        ? headers
+        : { "content-type": "application/json", ...headers },
       body,
     });
     record.write("operator", {
-      call: `${method} ${path}`, to: machine.name, answer: answer.status || answer.error?.replaceAll(" ", "_"),
+      call: `${method} ${path}`,
+      to: machine.name,
+      answer: answer.status || answer.error?.replaceAll(" ", "_"),
     });
     return answer;
   }
@@ -380,7 +441,10 @@
     const end = performance.now() + timeoutMs;
     for (let attempt = 0; performance.now() < end; attempt++) {
       const answer = await send(cores[(first + attempt) % cores.length], order);
-      if (answer.status > 0 && answer.status < 500 && ![408, 429].includes(answer.status)) {
+      if (
+        answer.status > 0 && answer.status < 500 &&
+        ![408, 429].includes(answer.status)
+      ) {
         return answer;
       }
       await sleep(Math.min(800, 100 * 2 ** attempt));
@@ -392,12 +456,16 @@
     send,
     order,
     async putManifest(number, after, resources) {
-      const answer = await order({
-        method: "PUT",
-        path: "/config",
-        headers: { "if-match": version(after) },
-        body: JSON.stringify({ version: version(number), resources }),
-      }, 0, 30_000);
+      const answer = await order(
+        {
+          method: "PUT",
+          path: "/config",
+          headers: { "if-match": version(after) },
+          body: JSON.stringify({ version: version(number), resources }),
+        },
+        0,
+        30_000,
+      );
       if (answer.status !== 200) {
         throw new Error(`the manifest was answered ${answer.status}`);
       }
@@ -409,10 +477,23 @@
  * A sound upstream: `slots` requests at once, a short queue, the headers of
  * PROTOCOL.md, heartbeats, and 421 for a request that expects another instance.
  */
-export async function startUpstream(side, { record, id, slots = 12, queue = 24, workMs = 20, workOf }) {
+export async function startUpstream(
+  side,
+  { record, id, slots = 12, queue = 24, workMs = 20, workOf },
+) {
   const upstream = {
-    side, id, born: Date.now(), seq: 0, state: "ready", coldMs: () => 0,
-    arrived: [], ran: [], running: 0, waiting: [], beating: true, onRun: undefined,
+    side,
+    id,
+    born: Date.now(),
+    seq: 0,
+    state: "ready",
+    coldMs: () => 0,
+    arrived: [],
+    ran: [],
+    running: 0,
+    waiting: [],
+    beating: true,
+    onRun: undefined,
   };
   const sockets = new Set();
   let listening;
@@ -424,7 +505,10 @@
   function refuse(response, requestId, status) {
     response.writeHead(status, {
       ...(requestId ? { [REQUEST_ID]: requestId } : {}),
-      [NOT_EXECUTED]: "1", [INSTANCE]: upstream.id, [LOAD]: load(), "content-length": 0,
+      [NOT_EXECUTED]: "1",
+      [INSTANCE]: upstream.id,
+      [LOAD]: load(),
+      "content-length": 0,
     });
     response.end();
   }
@@ -440,7 +524,11 @@
     upstream.running++;
     const at = record.now();
     upstream.ran.push({ at, requestId, path: incoming.url });
-    record.write("ran", { upstream: upstream.id, request: requestId, path: incoming.url });
+    record.write("ran", {
+      upstream: upstream.id,
+      request: requestId,
+      path: incoming.url,
+    });
     if (upstream.onRun?.({ requestId, path: incoming.url, response })) {
       upstream.running--;
       return;
@@ -455,11 +543,13 @@
       upstream.running--;
       startNext();
       if (status) {
-        const text = `${upstream.id} ${requestId} ${incoming.method} ${incoming.url} ${body.length}\n`;
+        const text =
+          `${upstream.id} ${requestId} ${incoming.method} ${incoming.url} ${body.length}\n`;
         response.writeHead(status, {
           [REQUEST_ID]: requestId,
           ...(status === 200 ? { [SIGNATURE]: `signed-${requestId}` } : {}),
-          [LOAD]: load(), "content-length": Buffer.byteLength(text),
+          [LOAD]: load(),
+          "content-length": Buffer.byteLength(text),
         });
         response.end(text);
       }
@@ -478,7 +568,9 @@
       const healthy = upstream.state === "ready";
       const cold = upstream.coldMs();
       response.writeHead(healthy ? 200 : 503, {
-        [INSTANCE]: upstream.id, [LOAD]: load(), "content-length": 0,
+        [INSTANCE]: upstream.id,
+        [LOAD]: load(),
+        "content-length": 0,
         ...(cold > 0 ? { [COLD]: Math.ceil(cold) } : {}),
       });
       response.end();
@@ -515,19 +607,23 @@
     }
   }
 
-  upstream.listen = () => new Promise((resolve, reject) => {
-    const [host, port] = side.app.split(":");
-    listening = createServer({ keepAliveTimeout: 10_000 }, (incoming, response) => {
-      handle(incoming, response).catch(() => response.destroy());
-    });
-    listening.on("connection", (socket) => {
-      sockets.add(socket);
-      socket.on("error", () => {});
-      socket.once("close", () => sockets.delete(socket));
+  upstream.listen = () =>
+    new Promise((resolve, reject) => {
+      const [host, port] = side.app.split(":");
+      listening = createServer(
+        { keepAliveTimeout: 10_000 },
+        (incoming, response) => {
+          handle(incoming, response).catch(() => response.destroy());
+        },
+      );
+      listening.on("connection", (socket) => {
+        sockets.add(socket);
+        socket.on("error", () => {});
+        socket.once("close", () => sockets.delete(socket));
+      });
+      listening.once("error", reject);
+      listening.listen(Number(port), host, resolve);
     });
-    listening.once("error", reject);
-    listening.listen(Number(port), host, resolve);
-  });
   /** Ends at once, with all connections. */
   upstream.crash = () => {
     record.write("upstream_ended", { upstream: upstream.id });
@@ -540,18 +636,30 @@
   };
   /** The body of a heartbeat; each has the next sequence number. */
   upstream.nextBeat = (state = upstream.state) => ({
-    service: side.service, address: side.app, zone: side.zone, version: "v1",
-    slots, state, cold_remaining: `${Math.ceil(upstream.coldMs())}ms`,
-    seq: ++upstream.seq, born: upstream.born,
+    service: side.service,
+    address: side.app,
+    zone: side.zone,
+    version: "v1",
+    slots,
+    state,
+    cold_remaining: `${Math.ceil(upstream.coldMs())}ms`,
+    seq: ++upstream.seq,
+    born: upstream.born,
   });
   upstream.sendBeat = async (beat, note) => {
     const answer = await call(side.control, {
-      method: "PUT", path: `/instances/${upstream.id}`,
-      headers: { "content-type": "application/json" }, body: JSON.stringify(beat),
+      method: "PUT",
+      path: `/instances/${upstream.id}`,
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(beat),
     });
     record.write("heartbeat", {
-      upstream: upstream.id, seq: beat.seq, state: beat.state, cold: beat.cold_remaining,
-      answer: answer.status, note,
+      upstream: upstream.id,
+      seq: beat.seq,
+      state: beat.state,
+      cold: beat.cold_remaining,
+      answer: answer.status,
+      note,
     });
     return answer.status;
   };
@@ -571,14 +679,20 @@
   let stopped = false;
   const loops = [];
 
-  async function send(side, { method = "GET", path, timeoutMs = 500, body, agent, headers }) {
+  async function send(
+    side,
+    { method = "GET", path, timeoutMs = 500, body, agent, headers },
+  ) {
     const requestId = randomBytes(8).toString("hex");
     const at = record.now();
     const entry = { at, path, side: side.name, status: undefined };
     sent.set(requestId, entry);
     record.write("sent", { request: requestId, to: side.name, method, path });
     const answer = await call(side.outbound, {
-      method, path, body, agent,
+      method,
+      path,
+      body,
+      agent,
       timeoutMs: timeoutMs + 500,
       headers: {
         host: "ficu95.example",
@@ -589,7 +703,10 @@
     });
     entry.status = answer.status;
     entry.answeredAt = record.now();
-    record.write("answered", { request: requestId, status: answer.status || answer.error?.replaceAll(" ", "_") });
+    record.write("answered", {
+      request: requestId,
+      status: answer.status || answer.error?.replaceAll(" ", "_"),
+    });
     return { requestId, ...answer };
   }
 
@@ -627,7 +744,9 @@
         while (!stopped && performance.now() >= next) {
           next -= Math.log(1 - Math.random()) * 1_000 / perSecond;
           count++;
-          const path = typeof options.path === "function" ? options.path(count) : options.path;
+          const path = typeof options.path === "function"
+            ? options.path(count)
+            : options.path;
           loops.push(by(side, { ...options, path }));
         }
       }, 2);
