Keep a late order from undoing a withdrawal that was acknowledged (EVAC)

What callers saw: a zone was evacuated, taken back and evacuated again, each acknowledged.

Cause: an evacuation names no version that it is based on. Each copy of it got a fresh change id and no condition, so a copy that was delayed in a socket, between replica and leader or at a leader counted as the newest order.

Ruled out: an old state in the replica (the change was committed and logged as accepted), a leader that repeats an entry (each call has a change id of its own).

--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -50,6 +50,7 @@
   operator: z.string(),
   teams: z.array(z.string()).optional(),
   against: z.number().int().min(0).optional(),
+  domainVersion: z.number().int().min(0).optional(),
   numbering: numberingSchema.optional(),
   force: z.boolean(),
   wallTime: z.number(),
@@ -57,7 +58,9 @@
 });
 /**
  * A change made by an operator. Without `teams` it may affect any team; without
- * `against` it applies to whichever version is current.
+ * `against` it applies to whichever version is current. `domainVersion` is the
+ * version of the last change to the failure domain that the submitter knew; the
+ * change conflicts with a later one.
  */
 export type Change = z.infer<typeof changeSchema>;
 
--- a/src/control/history.ts
+++ b/src/control/history.ts
@@ -62,14 +62,22 @@
       (numbering !== undefined && numbering.after !== number);
   }
 
-  function describeConflict({ against }: Change): ChangeResult {
-    return {
-      kind: "conflict",
-      version,
-      winner: against === undefined
-        ? undefined
-        : changes.find((entry) => entry.version === against + 1),
-    };
+  /** Returns the change that was accepted instead of a conflicting one. */
+  function findWinner(
+    { against, domainVersion, action }: Change,
+  ): AcceptedChange | undefined {
+    if (domainVersion !== undefined && "domain" in action) {
+      return changes.find((entry) =>
+        entry.version > domainVersion && entry.target === action.domain
+      );
+    }
+    return against === undefined
+      ? undefined
+      : changes.find((entry) => entry.version === against + 1);
+  }
+
+  function describeConflict(change: Change): ChangeResult {
+    return { kind: "conflict", version, winner: findWinner(change) };
   }
 
   return {
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -72,6 +72,8 @@
   readonly domainsOut: ReadonlySet<string>;
   /** Backend servers that are out of service. */
   readonly serversOut: ReadonlySet<string>;
+  /** Returns the version of the last change to a failure domain, 0 for none. */
+  domainVersion(domain: string): number;
   /** Registered backend servers. */
   members(): Member[];
   /** Returns the registration of a backend server. */
@@ -164,6 +166,12 @@
       : undefined;
   }
 
+  /** Whether the change's failure domain was changed after its submitter looked. */
+  function isOverruled({ action, domainVersion }: Change): boolean {
+    return domainVersion !== undefined && "domain" in action &&
+      components.withdrawals.domainVersion(action.domain) !== domainVersion;
+  }
+
   function findRefusal(change: WholeChange): ChangeResult | undefined {
     const { configuration, members, withdrawals, history } = components;
     const violation = findViolation(change, {
@@ -183,7 +191,7 @@
   ): Difference[] {
     return action.kind === "configure"
       ? components.configuration.configure(action, source)
-      : components.withdrawals.perform(action);
+      : components.withdrawals.perform(action, components.history.version + 1);
   }
 
   function accept(
@@ -204,6 +212,9 @@
         if (conflict) {
           return conflict;
         }
+        if (isOverruled(change)) {
+          return history.describeConflict(change);
+        }
         const whole = completeChange(change);
         const digest = hashAction(change.action);
         return whole
@@ -264,6 +275,7 @@
     get serversOut() {
       return components.withdrawals.servers;
     },
+    domainVersion: (domain) => components.withdrawals.domainVersion(domain),
     members: () =>
       [...components.members.all.values()]
         .map(({ revision: _revision, ...member }) => member),
--- a/src/control/state_test.ts
+++ b/src/control/state_test.ts
@@ -138,3 +138,70 @@
   t.equal(state.domainsOut.size, 0);
   t.end();
 });
+
+// Guards against an order that control gets late and that undoes one which was
+// acknowledged meanwhile, in either direction.
+for (
+  const [late, newer] of [
+    ["domain_back", "domain_out"],
+    ["domain_out", "domain_back"],
+  ] as const
+) {
+  test(`a late ${late} does not undo a newer ${newer}`, (t) => {
+    const { state, apply, configure } = createTestState();
+    configure(site(4));
+    const change = (kind: typeof late | typeof newer, changeId: string) =>
+      fakeChange({
+        changeId,
+        force: true,
+        action: { kind, domain: "east" },
+        domainVersion: state.domainVersion("east"),
+      });
+    apply(change(newer, "first"));
+    const delayed = change(late, "delayed");
+    t.match(apply(change(late, "sent again")), { kind: "accepted" });
+    t.match(apply(change(newer, "second")), { kind: "accepted" });
+    t.match(apply(delayed), {
+      kind: "conflict",
+      winner: { changeId: "sent again" },
+    });
+    t.equal(state.domainsOut.has("east"), newer === "domain_out");
+    t.match(
+      apply(change(late, "third")),
+      { kind: "accepted" },
+      "one that knows the newest change is accepted",
+    );
+    t.end();
+  });
+}
+
+test("a late order is recognized after a snapshot too", (t) => {
+  const { state, apply, configure } = createTestState();
+  configure(site(4));
+  const domainVersion = state.domainVersion("east");
+  apply(fakeChange({ force: true }));
+  const restored = createControlState();
+  restored.restore(state.snapshot());
+  t.match(
+    restored.apply({
+      index: 3,
+      logTime: 3,
+      command: fakeChange({ changeId: "late", force: true, domainVersion }),
+    }),
+    { kind: "conflict", winner: { changeId: "one" } },
+  );
+  t.end();
+});
+
+test("orders for different failure domains do not conflict", (t) => {
+  const { state, apply, configure } = createTestState();
+  configure(site(4));
+  const domainVersion = state.domainVersion("west");
+  apply(fakeChange({ force: true }));
+  const action = { kind: "domain_out", domain: "west" } as const;
+  t.match(
+    apply(fakeChange({ changeId: "two", force: true, action, domainVersion })),
+    { kind: "accepted" },
+  );
+  t.end();
+});
--- a/src/control/withdrawals.ts
+++ b/src/control/withdrawals.ts
@@ -11,14 +11,24 @@
 export interface StoredWithdrawals {
   domainsOut: string[];
   serversOut: string[];
+  /**
+   * Version of the last change to each failure domain; snapshots of earlier
+   * versions have none.
+   */
+  domainVersions?: [string, number][];
 }
 
 /** Failure domains and backend servers that are out of service. */
 export interface Withdrawals {
   readonly domains: ReadonlySet<string>;
   readonly servers: ReadonlySet<string>;
-  /** Applies a withdrawal or a return, and returns the difference. */
-  perform(action: Withdrawal): Difference[];
+  /** Returns the version of the last change to a failure domain, 0 for none. */
+  domainVersion(domain: string): number;
+  /**
+   * Applies a withdrawal or a return that makes `version`, and returns the
+   * difference.
+   */
+  perform(action: Withdrawal, version: number): Difference[];
   /** Returns all withdrawals, for a snapshot. */
   stored(): StoredWithdrawals;
 }
@@ -41,16 +51,32 @@
 export function createWithdrawals(stored: StoredWithdrawals): Withdrawals {
   const domains = new Set(stored.domainsOut);
   const servers = new Set(stored.serversOut);
+  const domainVersions = new Map(stored.domainVersions);
 
   return {
     domains,
     servers,
-    perform(action) {
+    domainVersion: (domain) => domainVersions.get(domain) ?? 0,
+    perform(action, version) {
       const out = action.kind === "domain_out" || action.kind === "server_out";
-      return "domain" in action
-        ? setWithdrawn(domains, { name: action.domain, key: "domains", out })
-        : setWithdrawn(servers, { name: action.server, key: "servers", out });
+      if (!("domain" in action)) {
+        return setWithdrawn(servers, {
+          name: action.server,
+          key: "servers",
+          out,
+        });
+      }
+      domainVersions.set(action.domain, version);
+      return setWithdrawn(domains, {
+        name: action.domain,
+        key: "domains",
+        out,
+      });
     },
-    stored: () => ({ domainsOut: [...domains], serversOut: [...servers] }),
+    stored: () => ({
+      domainsOut: [...domains],
+      serversOut: [...servers],
+      domainVersions: [...domainVersions],
+    }),
   };
 }
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -158,6 +158,14 @@
   return connectionsOf.get(server) ?? { open: new Set(), accepted: 0 };
 }
 
+/**
+ * Whether the client of a request has closed its connection, as far as the
+ * event loop has read that; `EventLoopLag.waitForCloses` makes it current.
+ */
+export function hasDisconnected({ socket }: IncomingMessage): boolean {
+  return socket.destroyed || socket.readableEnded;
+}
+
 /** Returns the connection of a socket; `undefined` for an untracked one. */
 export function connectionOfSocket(socket: Socket): Connection | undefined {
   return connectionOf.get(socket);
