--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -7,6 +7,7 @@
 import { siteSchema } from "../settings/site.ts";
 import { amendmentSchema } from "./amendment_schema.ts";
 import { departureSchema } from "./departures.ts";
+import { suspicionReportSchema } from "./suspicions.ts";
 
 /** The action of an operator's change. */
 export const actionSchema = z.discriminatedUnion("kind", [
@@ -105,6 +106,10 @@
   departure: departureSchema,
 });
 
+const suspicionsSchema = suspicionReportSchema.extend({
+  kind: z.literal("suspicions"),
+});
+
 /** Claims a key for one attempt before it is dispatched. */
 export const claimSchema = z.object({
   kind: z.literal("claim"),
@@ -136,6 +141,7 @@
   registerSchema,
   expireSchema,
   departSchema,
+  suspicionsSchema,
   claimSchema,
   settleSchema,
 ]);
--- a/src/control/node_handlers.ts
+++ b/src/control/node_handlers.ts
@@ -20,6 +20,7 @@
   leaveMethod,
   registerMethod,
   renewMethod,
+  reportSuspicionsMethod,
   settleMethod,
   syncMethod,
 } from "./node_methods.ts";
@@ -60,7 +61,7 @@
 
   const packer = createRoutePacker();
   rpc.handle(syncMethod, async (request) => {
-    const { known, renewal, confirm, events } = request;
+    const { known, renewal, confirm, events, knownSuspects } = request;
     if (renewal) {
       leases.queueRenewal(renewal);
     }
@@ -77,6 +78,7 @@
         ? packer.pack(state.viewSince(known))
         : state.viewSince(known),
       own: confirmed ? state.member(request.node) : undefined,
+      suspects: knownSuspects && state.suspectsSince(knownSuspects),
       departed: confirmed ? state.departures(request.node) : undefined,
     };
   });
@@ -103,6 +105,10 @@
     departMethod,
     (request) => calls.propose({ kind: "depart", ...request }),
   );
+  rpc.handle(
+    reportSuspicionsMethod,
+    (request) => calls.propose({ kind: "suspicions", ...request }),
+  );
   rpc.handle(claimMethod, (request) => calls.propose(request));
   rpc.handle(
     settleMethod,
--- a/src/control/node_methods.ts
+++ b/src/control/node_methods.ts
@@ -16,6 +16,7 @@
   registerResultSchema,
 } from "./commands.ts";
 import { departureSchema } from "./departures.ts";
+import { serviceSuspectsSchema, suspicionReportSchema } from "./suspicions.ts";
 import { knownRevisionsSchema, viewSchema } from "./view.ts";
 
 /** A reply that only the leader can give. */
@@ -48,7 +49,8 @@
  * Fetches newer parts of the view and renews a lease; any replica answers. The
  * reply lists the RPC addresses of all replicas and the number of registered
  * members. `own` is the registration of the node's server and `departed` what has
- * left its VM; both are sent only with a confirmed view.
+ * left its VM; both are sent only with a confirmed view. `suspects` are those of
+ * the service that the node's guard serves, if they are newer than what it knows.
  *
  * A sync ends by the node's timeout. The replica is not notified then, and
  * keeps the renewal and the events. A replica that stops still answers syncs in
@@ -60,6 +62,8 @@
     known: knownRevisionsSchema,
     confirm: z.boolean(),
     renewal: renewalSchema.optional(),
+    knownSuspects: z.object({ service: z.string(), revision: z.number() })
+      .optional(),
     /** Events; those that cannot be read are left out by the replica. */
     events: z.array(z.unknown()),
   }),
@@ -73,6 +77,7 @@
     view: viewSchema,
     own: memberSchema.optional(),
     departed: z.array(departureSchema).optional(),
+    suspects: serviceSuspectsSchema.optional(),
   }),
 });
 
@@ -100,6 +105,12 @@
   reply: leaderReply(z.boolean()),
 });
 
+/** Reports requests that are suspected of crashing backend servers. */
+export const reportSuspicionsMethod = defineMethod("report_suspicions", {
+  request: suspicionReportSchema,
+  reply: leaderReply(z.boolean()),
+});
+
 /** Claims a key for one attempt before it is dispatched. */
 export const claimMethod = defineMethod("claim", {
   request: claimSchema,
--- a/src/control/state.ts
+++ b/src/control/state.ts
@@ -39,6 +39,11 @@
 import { createRevisions, type StoredRevisions } from "./revisions.ts";
 import type { KnownRevisions, View } from "./view.ts";
 import { viewSince } from "./view_since.ts";
+import {
+  createSuspicionRegistry,
+  type ServiceSuspects,
+  type StoredSuspicions,
+} from "./suspicions.ts";
 import { createWithdrawals, type StoredWithdrawals } from "./withdrawals.ts";
 
 /** The state as stored in a snapshot. */
@@ -53,6 +58,8 @@
   members: [string, StoredMember][];
   /** What has left; snapshots of earlier versions have none. */
   departures?: [string, StoredDeparture[]][];
+  /** Suspected requests; snapshots of earlier versions have none. */
+  suspicions?: StoredSuspicions[];
   claims: [string, StoredClaim][];
   results: [string, ChangeRecord][];
 }
@@ -83,6 +90,10 @@
   member(server: string): Member | undefined;
   /** Returns what has left on a VM. */
   departures(server: string): Departure[];
+  /** Returns the suspects of a service if they changed after a revision. */
+  suspectsSince(
+    known: { service: string; revision: number },
+  ): ServiceSuspects | undefined;
   /** Returns the result of a change, if it is still kept. */
   findChangeResult(changeId: string): ChangeResult | undefined;
   /** Returns the accepted changes, oldest first. */
@@ -95,6 +106,9 @@
   viewSince(known: KnownRevisions): View;
 }
 
+/** Limits of suspicions while no configuration is accepted: none is kept. */
+const NO_QUARANTINE = { crashes: 1, keep_ms: 0 };
+
 const packr = new Packr({ useRecords: false });
 
 function emptyState(): StoredState {
@@ -124,6 +138,7 @@
     configuration: createConfiguration(stored, revisions),
     withdrawals: createWithdrawals(stored),
     members: createMemberRegistry(stored, revisions),
+    suspicions: createSuspicionRegistry(stored.suspicions ?? []),
     claims: createClaimRegistry(stored.claims),
     results: createChangeResults(stored.results),
     history: createHistory(stored),
@@ -151,6 +166,7 @@
       ...withdrawals.stored(),
       members: components.members.entries(),
       departures: components.members.departureEntries(),
+      suspicions: components.suspicions.entries(),
       claims: components.claims.entries(),
       results: components.results.entries(),
       history: history.changes,
@@ -232,7 +248,7 @@
 
   function execute(command: Command, entry: AppliedEntry): unknown {
     const { index } = entry;
-    const { members, claims, configuration } = components;
+    const { members, suspicions, claims, configuration } = components;
     switch (command.kind) {
       case "change":
         return applyChange(command, index);
@@ -245,6 +261,17 @@
       case "depart":
         members.depart(command, entry);
         return true;
+      case "suspicions": {
+        const { crashes, keep_ms: keepMs } = configuration.site?.quarantine ??
+          NO_QUARANTINE;
+        suspicions.report(command, {
+          index,
+          logTime: entry.logTime,
+          crashes,
+          keepMs,
+        });
+        return true;
+      }
       case "claim": {
         const bounds = configuration.site?.claims;
         return claims.claim(command, {
@@ -290,6 +317,8 @@
         .map(({ revision: _revision, ...member }) => member),
     member: (server) => components.members.all.get(server),
     departures: (server) => components.members.departures(server),
+    suspectsSince: (known) =>
+      components.suspicions.changedSince(known, logTime),
     findChangeResult: (changeId) => components.results.get(changeId),
     history: () => components.history.changes,
     claimCount: () => components.claims.size,
--- a/src/guard/crash_watch.ts
+++ b/src/guard/crash_watch.ts
@@ -9,6 +9,7 @@
   computeFingerprint,
   type RequestContent,
 } from "../core/fingerprint.ts";
+import type { Suspect } from "../control/suspicions.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Frame } from "../network/frames.ts";
 import type { Timer } from "../time/timer.ts";
@@ -21,6 +22,14 @@
 /** Frame that reports a fingerprint as suspected of a crash, or as cleared. */
 export type SuspicionFrame = Extract<Frame, { kind: "suspicion" }>;
 
+/** Reports to control, which keeps suspicions for guards that start later. */
+export interface CrashReports {
+  /** Reports a crash and the requests that were in flight. */
+  reportCrash(crash: string, fingerprints: readonly string[]): void;
+  /** Reports that a suspect ran alone and was answered. */
+  reportCleared(fingerprint: string): void;
+}
+
 /** Options of {@link createCrashWatch}. */
 export interface CrashWatchOptions {
   vm: string;
@@ -31,6 +40,7 @@
   limits: () => QuarantineLimits;
   /** Sends a frame to the other guards of the service. */
   share: (frame: SuspicionFrame) => void;
+  reports: CrashReports;
 }
 
 /** Suspicions about requests that may crash the backend server. */
@@ -52,6 +62,11 @@
   clearSuspicion(request: RequestContent): void;
   /** Applies a frame that another guard has sent. */
   applySuspicion(frame: SuspicionFrame): void;
+  /**
+   * Applies all suspects that control has kept. Those that it kept before and no
+   * longer keeps were cleared, or their time is over.
+   */
+  learn(suspects: readonly Suspect[]): void;
 }
 
 interface Reset {
@@ -63,9 +78,11 @@
 
 /** Creates a watch without suspects. */
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-  const { vm, domain, timer, logger, recorder, share } = options;
+  const { vm, domain, timer, logger, recorder, share, reports } = options;
   const quarantine = createQuarantine(timer, options.limits);
   let resets: Reset[] = [];
+  /** Fingerprints that control keeps, as far as it has told. */
+  let kept = new Set<string>();
 
   /** Returns the fingerprints of recent resets and forgets all resets. */
   function takeRecentResets(): Set<string> {
@@ -104,6 +121,9 @@
     recordCrash(crash) {
       const suspects = takeRecentResets();
       suspects.forEach((fingerprint) => addSuspect(fingerprint, crash));
+      if (suspects.size > 0) {
+        reports.reportCrash(crash, [...suspects]);
+      }
       logger.warn("guard.backend_crashed", { crash, suspects: suspects.size });
       recorder.record({
         kind: "crash",
@@ -116,6 +136,7 @@
       const fingerprint = computeFingerprint(request);
       if (quarantine.clear(fingerprint)) {
         share({ kind: "suspicion", fingerprint, crash: "", cleared: true });
+        reports.reportCleared(fingerprint);
       }
     },
     applySuspicion(frame) {
@@ -125,5 +146,19 @@
         quarantine.addCrash(frame.fingerprint, frame.crash);
       }
     },
+    learn(suspects) {
+      const next = new Set(suspects.map(({ fingerprint }) => fingerprint));
+      for (const fingerprint of kept) {
+        if (!next.has(fingerprint)) {
+          quarantine.clear(fingerprint);
+        }
+      }
+      kept = next;
+      for (const { fingerprint, crashes, ageMs } of suspects) {
+        crashes.forEach((crash) =>
+          quarantine.addCrash(fingerprint, crash, ageMs)
+        );
+      }
+    },
   };
 }
--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -5,6 +5,7 @@
  */
 import type { Recorder } from "../account/events.ts";
 import type { Departure } from "../control/departures.ts";
+import type { Suspect } from "../control/suspicions.ts";
 import { errorFields } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../metrics/metrics.ts";
@@ -24,7 +25,11 @@
   BackendError,
   BackendFactory,
 } from "./backend.ts";
-import { createCrashWatch, type SuspicionFrame } from "./crash_watch.ts";
+import {
+  type CrashReports,
+  createCrashWatch,
+  type SuspicionFrame,
+} from "./crash_watch.ts";
 import { createResumption } from "./resumption.ts";
 import {
   type Announcement,
@@ -54,6 +59,8 @@
    * crash, or cleared.
    */
   shareSuspicion: (frame: SuspicionFrame) => void;
+  /** Reports to control, which keeps suspicions for guards that start later. */
+  suspicionReports: CrashReports;
   /**
    * Called when an attempt names a newer version than that of the directory,
    * so that the node can fetch the newer one. `peer` is the address of the
@@ -101,6 +108,8 @@
    * its address, is healthy and is not leaving.
    */
   verifyServer(registered: Announcement): Promise<boolean>;
+  /** Applies the suspects that control has kept. */
+  learnSuspects(suspects: readonly Suspect[]): void;
   /** Rejects announcements of what has left. */
   rejectDeparted(departure: Departure): void;
   /**
@@ -181,6 +190,7 @@
       keepMs: directory.global?.limits.quarantine.keep_ms ?? 0,
     }),
     share: options.shareSuspicion,
+    reports: options.suspicionReports,
   });
   const lifecycle: Lifecycle = {
     leaving: false,
@@ -446,6 +456,7 @@
       return result;
     },
     verifyServer: link.verifyServer,
+    learnSuspects: crashes.learn,
     rejectDeparted: link.rejectDeparted,
     async leave(boot) {
       link.rejectDeparted({ kind: "boot", boot });
--- a/src/guard/quarantine.ts
+++ b/src/guard/quarantine.ts
@@ -22,8 +22,11 @@
 export interface Quarantine {
   /** Number of fingerprints that are kept. */
   readonly size: number;
-  /** Records a crash for a fingerprint; the same crash counts once. */
-  addCrash(fingerprint: string, crash: string): Suspicion;
+  /**
+   * Records a crash for a fingerprint, some milliseconds ago; the same crash
+   * counts once.
+   */
+  addCrash(fingerprint: string, crash: string, ageMs?: number): Suspicion;
   /** Removes a suspect, but no quarantined one; returns whether it did so. */
   clear(fingerprint: string): boolean;
   /** Returns the status of a fingerprint. */
@@ -65,11 +68,11 @@
     get size() {
       return records.size;
     },
-    addCrash(fingerprint, crash) {
-      const record = current(fingerprint) ??
-        { crashes: new Set<string>(), at: timer.now() };
+    addCrash(fingerprint, crash, ageMs = 0) {
+      const at = timer.now() - ageMs;
+      const record = current(fingerprint) ?? { crashes: new Set<string>(), at };
       record.crashes.add(crash);
-      record.at = timer.now();
+      record.at = Math.max(record.at, at);
       records.delete(fingerprint);
       records.set(fingerprint, record);
       if (records.size > MAX_FINGERPRINTS) {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -34,6 +34,7 @@
 import { exposeNodeMetrics } from "./node_metrics.ts";
 import { createRegistration } from "./registration.ts";
 import { createReportRefresh } from "./report_refresh.ts";
+import { createSuspicionReports } from "./suspicion_reports.ts";
 import { createSync, type Sync } from "./sync.ts";
 
 /** Options of {@link createNode}. */
@@ -161,6 +162,11 @@
     timer,
     onDeparture: (departure) => guard.rejectDeparted(departure),
   });
+  const suspicionReports = createSuspicionReports({
+    client,
+    timer,
+    service: () => options.service ?? guard.announced?.service ?? "",
+  });
   const loopback = createLoopbackNetwork(options.network, {
     address: options.peerAddress,
     accept: (channel) => serve(channel),
@@ -180,6 +186,11 @@
     onLeaseLost: () => void register(),
     onRegistrationFound: (previous) => void restoreRegistration(previous),
     onDeparturesFound: departures.learn,
+    knownSuspects: suspicionReports.known,
+    onSuspectsFound(found) {
+      suspicionReports.noteReceived(found);
+      guard.learnSuspects(found.suspects);
+    },
   });
   const pool: PeerPool = createPeerPool({
     network: loopback.network,
@@ -254,6 +265,7 @@
     metrics,
     createBackend: options.createBackend,
     shareSuspicion: (frame) => void broadcastSuspicion(frame),
+    suspicionReports,
     onNewerVersion: sync.catchUp,
     onServerLeaving: (boot) => void leave(boot),
     onReportNeeded: () => reportRefresh.ensureFresh(),
@@ -532,6 +544,7 @@
         sleep(timer, TASK_SHUTDOWN_TIMEOUT_MS),
       ]);
       reportRefresh.stop();
+      suspicionReports.stop();
       freezeWatch?.cancel();
       pool.close();
       for (const channel of [...openChannels]) {
--- a/src/node/sync.ts
+++ b/src/node/sync.ts
@@ -7,6 +7,7 @@
 import type { Member } from "../control/commands.ts";
 import type { Departure } from "../control/departures.ts";
 import { type Renewal, syncMethod } from "../control/node_methods.ts";
+import type { ServiceSuspects } from "../control/suspicions.ts";
 import { unpackView } from "../control/route_packing.ts";
 import { type View, viewSchema } from "../control/view.ts";
 import { errorFields } from "../core/errors.ts";
@@ -22,6 +23,7 @@
 import { type Timer, withTimeout } from "../time/timer.ts";
 import type { ControlClient } from "./control_client.ts";
 import type { Directory } from "./directory.ts";
+import type { KnownSuspects } from "./suspicion_reports.ts";
 import { createViewRequest } from "./view_request.ts";
 
 /** Keeps a directory up to date. */
@@ -69,6 +71,10 @@
    * `onRegistrationFound`.
    */
   onDeparturesFound: (departed: readonly Departure[]) => void;
+  /** Returns the suspects that this node's guard knows. */
+  knownSuspects: () => KnownSuspects | undefined;
+  /** Called with newer suspects, after the view that came along is applied. */
+  onSuspectsFound: (found: ServiceSuspects) => void;
 }
 
 const SYNC_TIMEOUT_MS = 1_000;
@@ -135,6 +141,7 @@
         known,
         confirm: !confirmed,
         renewal: options.renewal(),
+        knownSuspects: options.knownSuspects(),
         events,
       },
       timeoutMs: SYNC_TIMEOUT_MS,
@@ -144,7 +151,8 @@
       client.selectNextReplica();
       return false;
     }
-    const { stalenessMs, leaseLost, leader, own, departed } = reply.value;
+    const { stalenessMs, leaseLost, leader, own, departed, suspects } =
+      reply.value;
     const view = tryUnpack(reply.value.view);
     if (!view) {
       return false;
@@ -170,6 +178,9 @@
     confirmed = true;
     lastSyncAt = timer.now();
     directory.apply(view);
+    if (suspects) {
+      options.onSuspectsFound(suspects);
+    }
     synced.notifyAll();
     if (own) {
       options.onRegistrationFound(own);
--- a/src/node/sync_test.ts
+++ b/src/node/sync_test.ts
@@ -93,6 +93,8 @@
     onLeaseLost: () => {},
     onRegistrationFound: () => {},
     onDeparturesFound: () => {},
+    knownSuspects: () => undefined,
+    onSuspectsFound: () => {},
   });
   sync.start();
   return {
--- a/tests/control/after_restart_test.ts
+++ b/tests/control/after_restart_test.ts
@@ -1,12 +1,15 @@
 /**
  * What control has acknowledged, after all its replicas were killed within a
  * second: a server that has left and a failure domain that is out stay so, for
- * a node that starts again at the same time too.
+ * a node that starts again at the same time too; so do departures and suspected
+ * requests.
  */
 import { test } from "tap";
 import {
+  departMethod,
   leaveMethod,
   registerMethod,
+  reportSuspicionsMethod,
   syncMethod,
 } from "../../src/control/node_methods.ts";
 import type { ChangeResult, Member } from "../../src/control/commands.ts";
@@ -76,6 +79,17 @@
       server: "left",
       incarnation: "left-first",
     }, isDone);
+    const departure = { kind: "boot", boot: "left-boot" } as const;
+    await callAny(harness, departMethod, { server: "vm1", departure }, isDone);
+    const crashes = ["c1", "c2"].map((crash) => ({
+      crash,
+      fingerprints: ["f"],
+    }));
+    await callAny(harness, reportSuspicionsMethod, {
+      service: "work",
+      crashes,
+      cleared: [],
+    }, isDone);
     let result: ChangeResult | undefined;
     void harness.cluster.propose({ kind: "domain_out", domain: "west" }, {
       force: true,
@@ -92,19 +106,29 @@
       await harness.timer.advance(harness.random.integer(400));
       await harness.cluster.start(name);
     }
-    const { view } = await callAny<
+    const { view, departed, suspects } = await callAny<
       unknown,
-      { confirmed: boolean; view: { global?: unknown; services: unknown[] } }
+      {
+        confirmed: boolean;
+        view: { global?: unknown; services: unknown[] };
+        departed: unknown;
+        suspects: unknown;
+      }
     >(harness, syncMethod, {
       node: "vm1",
       known: { global: 0, routes: 0, services: { work: 0 } },
       confirm: true,
+      knownSuspects: { service: "work", revision: 0 },
       events: [],
     }, ({ confirmed }) => confirmed);
     const text = JSON.stringify(view);
     t.match(text, /stays-boot/);
     t.notMatch(text, /left-boot/, "the server that has left");
     t.match(text, /"domainsOut":\["west"\]/);
+    t.same(departed, [departure]);
+    t.match(suspects, {
+      suspects: [{ fingerprint: "f", crashes: ["c1", "c2"] }],
+    });
     await harness.waitForConvergence();
     t.same(harness.findViolations(), []);
   });
--- a/tests/scenario/disable_mechanisms.ts
+++ b/tests/scenario/disable_mechanisms.ts
@@ -65,6 +65,13 @@
     if (replace) {
       world.network.replaceFrames(replace);
     }
+    if (name === "suspicion") {
+      // Guards neither hear each other nor what control has kept.
+      world.rpc.replaceReplies("sync", (reply) => ({
+        ...reply as object,
+        suspects: undefined,
+      }));
+    }
     if (name === "withdrawal") {
       world.rpc.replaceReplies("sync", (reply) => {
         const sync = reply as { view: View };
