--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { processBufferCollector } from "../core/buffer_collector.ts";
 import { errorMessage } from "../core/errors.ts";
 import { type HeaderList, headerValue } from "../core/headers.ts";
 import { type BackendDialect, DefaultBackendDialect } from "../http/dialect.ts";
@@ -248,6 +249,7 @@
       try {
         for await (const chunk of answer) {
           pool.noteProgress(clientRequest);
+          processBufferCollector.note(chunk.length);
           yield chunk;
         }
         if (!isComplete(answer)) {
--- a/src/metrics/event_loop.ts
+++ b/src/metrics/event_loop.ts
@@ -75,4 +75,10 @@
     return (user + system) / MICROSECONDS_PER_SECOND;
   });
   metrics.gauge("memory_bytes", () => process.memoryUsage().rss);
+  metrics.gauge("memory_heap_bytes", () => process.memoryUsage().heapTotal);
+  // Buffers of sockets and bodies stand outside the heap.
+  metrics.gauge(
+    "memory_buffer_bytes",
+    () => process.memoryUsage().arrayBuffers,
+  );
 }
--- a/src/network/fake_network.ts
+++ b/src/network/fake_network.ts
@@ -148,7 +148,7 @@
       channel,
       deliver: (frame) => {
         if (!closed) {
-          inbox.push(frame);
+          inbox.push(frame, 0);
         }
       },
       disconnect,
--- a/src/network/inbox.ts
+++ b/src/network/inbox.ts
@@ -6,13 +6,13 @@
 
 /** Frames that were received but not read yet. */
 export interface Inbox {
-  /** Number of unread frames. */
-  readonly size: number;
-  /** Adds a frame, or hands it to the waiting reader. */
-  push(frame: Frame): void;
+  /** Whether senders have to wait until frames are read. */
+  readonly full: boolean;
+  /** Adds a frame of some bytes, or hands it to the waiting reader. */
+  push(frame: Frame, bytes: number): void;
   /** Returns the next frame, or `undefined` once the queue has ended. */
   next(): Promise<Frame | undefined>;
-  /** Resolves once fewer than `MAX_UNREAD_FRAMES` are unread. */
+  /** Resolves once the queue is no longer full. */
   waitForSpace(): Promise<void>;
   /** Ends the queue; frames that it contains can still be read. */
   end(): void;
@@ -20,16 +20,24 @@
 
 /** Number of unread frames at which senders have to wait. */
 export const MAX_UNREAD_FRAMES = 16;
+/** Bytes of unread frames at which senders have to wait; one frame may exceed it. */
+export const MAX_UNREAD_BYTES = 256 * 1024;
 
 /** Creates an empty inbox. */
 export function createInbox(onRead: () => void = () => {}): Inbox {
-  const frames: Frame[] = [];
+  const unread: { frame: Frame; bytes: number }[] = [];
+  let unreadBytes = 0;
   let waitingReader: ((frame: Frame | undefined) => void) | undefined;
   let ended = false;
   let spaceWaiters: (() => void)[] = [];
 
+  function isFull(): boolean {
+    return unread.length >= MAX_UNREAD_FRAMES ||
+      unreadBytes >= MAX_UNREAD_BYTES;
+  }
+
   function hasSpace(): boolean {
-    return ended || frames.length < MAX_UNREAD_FRAMES;
+    return ended || !isFull();
   }
 
   function wakeSenders(): void {
@@ -41,24 +49,26 @@
   }
 
   return {
-    get size() {
-      return frames.length;
+    get full() {
+      return isFull();
     },
-    push(frame) {
+    push(frame, bytes) {
       if (waitingReader) {
         const resolve = waitingReader;
         waitingReader = undefined;
         resolve(frame);
       } else {
-        frames.push(frame);
+        unread.push({ frame, bytes });
+        unreadBytes += bytes;
       }
     },
     next() {
-      const frame = frames.shift();
-      if (frame) {
+      const first = unread.shift();
+      if (first) {
+        unreadBytes -= first.bytes;
         wakeSenders();
         onRead();
-        return Promise.resolve(frame);
+        return Promise.resolve(first.frame);
       }
       if (ended) {
         return Promise.resolve(undefined);
--- a/src/network/local.ts
+++ b/src/network/local.ts
@@ -35,7 +35,7 @@
             peer: address,
           });
         }
-        other.push(frame);
+        other.push(frame, frame.kind === "data" ? frame.bytes.length : 0);
         await other.waitForSpace();
       },
       receive: () => own.next(),
--- a/src/network/tcp.ts
+++ b/src/network/tcp.ts
@@ -5,6 +5,7 @@
 import { createServer, type Socket } from "node:net";
 import { connect as connectSocket } from "node:net";
 import { createCanceller } from "../core/cancellation.ts";
+import { processBufferCollector } from "../core/buffer_collector.ts";
 import { errorMessage, StepError, TimeoutError } from "../core/errors.ts";
 import {
   type Channel,
@@ -15,7 +16,7 @@
 } from "./channel.ts";
 import { decodeFrame, encodeFrame, LENGTH_BYTES } from "./frame_codec.ts";
 import { type EventLoopLag, noLag } from "../time/event_loop_lag.ts";
-import { createInbox, MAX_UNREAD_FRAMES } from "./inbox.ts";
+import { createInbox } from "./inbox.ts";
 
 /** Largest frame accepted, in bytes. */
 export const MAX_FRAME_BYTES = 1 << 20;
@@ -32,7 +33,7 @@
   let unparsed: Buffer = Buffer.alloc(0);
   let waitingSenders: (() => void)[] = [];
   const inbox = createInbox(() => {
-    if (inbox.size < MAX_UNREAD_FRAMES) {
+    if (!inbox.full) {
       socket.resume();
     }
   });
@@ -70,7 +71,8 @@
       if (unparsed.length < end) {
         break;
       }
-      inbox.push(decodeFrame(unparsed.subarray(offset + LENGTH_BYTES, end)));
+      const frame = decodeFrame(unparsed.subarray(offset + LENGTH_BYTES, end));
+      inbox.push(frame, length);
       offset = end;
     }
     unparsed = unparsed.subarray(offset);
@@ -78,6 +80,7 @@
 
   socket.setNoDelay(true);
   socket.on("data", (chunk: Buffer) => {
+    processBufferCollector.note(chunk.length);
     closeMayBePending = lag.lagging;
     maxUnreadMs = lag.maxUnreadMs;
     unparsed = unparsed.length === 0 ? chunk : Buffer.concat([unparsed, chunk]);
@@ -87,7 +90,7 @@
       close();
       return;
     }
-    if (inbox.size >= MAX_UNREAD_FRAMES) {
+    if (inbox.full) {
       socket.pause();
     }
   });
--- a/tests/http/http_apis_test.ts
+++ b/tests/http/http_apis_test.ts
@@ -13,7 +13,7 @@
 import { silentLogger } from "../../src/core/logger.ts";
 import { findFreePorts } from "../../src/demo/ports.ts";
 import { MAX_WHOLE_ANSWER_BYTES } from "../../src/guard/run.ts";
-import { MAX_UNREAD_FRAMES } from "../../src/network/inbox.ts";
+import { MAX_UNREAD_BYTES } from "../../src/network/inbox.ts";
 import { type MustardcrossProcess, startProcess } from "../../src/process.ts";
 import { siteSchema } from "../../src/settings/site.ts";
 import { eventually } from "../processes.ts";
@@ -31,7 +31,7 @@
  * channel, and in each of four streams (the backend server's socket, the HTTP
  * client's body, the HTTP response, the caller's socket) its limit and one read.
  */
-const MAX_BUFFERED_BYTES = MAX_UNREAD_FRAMES * MAX_WHOLE_ANSWER_BYTES +
+const MAX_BUFFERED_BYTES = MAX_UNREAD_BYTES + MAX_WHOLE_ANSWER_BYTES +
   4 * 2 * STREAM_BUFFER_BYTES;
 
 interface Harness {
