--- a/src/control/submission.ts
+++ b/src/control/submission.ts
@@ -1,9 +1,10 @@
 /**
- * Submission of an operator's change, with retries until its result is known.
+ * Submission of an operator's change, with retries until its result is known,
+ * and of withdrawals that name no version which they are based on.
  * @module
  */
 import { sleep, type Timer } from "../time/timer.ts";
-import type { Change, ChangeResult } from "./commands.ts";
+import type { Action, Change, ChangeResult } from "./commands.ts";
 import { createAmendment } from "./amendments.ts";
 import type { Control } from "./control.ts";
 import type { ControlState } from "./state.ts";
@@ -11,6 +12,18 @@
 /** A change as an operator submits it. */
 type SubmittedChange = Omit<Change, "kind" | "wallTime">;
 
+/** Withdraws a failure domain, or returns it to service. */
+type DomainAction = Extract<Action, { domain: string }>;
+
+/** Result of a withdrawal; `abandoned` if its operator may have given up on it. */
+export type WithdrawalResult = ChangeResult | { kind: "abandoned" };
+
+interface SubmitOptions {
+  control: Control;
+  timer: Timer;
+  timeoutMs: number;
+}
+
 const RETRY_PAUSE_MS = 100;
 
 /** Whether a change was made for the configuration that this replica has. */
@@ -44,7 +57,7 @@
  */
 export async function submitChange(
   change: SubmittedChange,
-  options: { control: Control; timer: Timer; timeoutMs: number },
+  options: SubmitOptions,
 ): Promise<ChangeResult | undefined> {
   const { control, timer, timeoutMs } = options;
   const deadline = timer.now() + timeoutMs;
@@ -62,3 +75,36 @@
   }
   return undefined;
 }
+
+/**
+ * Submits the withdrawal or the return of a failure domain by an operator who
+ * names no version, so that an old copy of it does not undo a later change. It is
+ * not proposed if `mayBeAbandoned` returns true: the operator may have sent it
+ * again elsewhere, and a contrary one after that. Once it is proposed, it
+ * conflicts with any change to the domain since then. Returns `undefined` if no
+ * quorum answers in time.
+ */
+export async function submitWithdrawal(
+  change: Omit<SubmittedChange, "action"> & { action: DomainAction },
+  options: SubmitOptions & { mayBeAbandoned: () => Promise<boolean> },
+): Promise<WithdrawalResult | undefined> {
+  const { control, timer, timeoutMs, mayBeAbandoned } = options;
+  const deadline = timer.now() + timeoutMs;
+  if (await mayBeAbandoned()) {
+    return { kind: "abandoned" };
+  }
+  // The version of the domain has to be the newest that was acknowledged.
+  if (!await control.confirmRead()) {
+    return undefined;
+  }
+  // The process may have stood still during the read.
+  if (await mayBeAbandoned()) {
+    return { kind: "abandoned" };
+  }
+  const domainVersion = control.state.domainVersion(change.action.domain);
+  return await submitChange({ ...change, domainVersion }, {
+    control,
+    timer,
+    timeoutMs: deadline - timer.now(),
+  });
+}
--- a/src/node/departures.ts
+++ b/src/node/departures.ts
@@ -57,16 +57,22 @@
     }
   }
 
-  async function callControl(key: string, departure: Departure) {
-    const result = await client.callLeader(departMethod, {
-      request: { server: vm, departure },
-      deadlineAt: timer.now() + RECORD_TIMEOUT_MS,
-    });
-    pending.delete(key);
-    if (result) {
-      noteRecorded(key);
+  async function callControl(
+    key: string,
+    departure: Departure,
+  ): Promise<boolean> {
+    try {
+      const result = await client.callLeader(departMethod, {
+        request: { server: vm, departure },
+        deadlineAt: timer.now() + RECORD_TIMEOUT_MS,
+      });
+      if (result) {
+        noteRecorded(key);
+      }
+      return result ?? false;
+    } finally {
+      pending.delete(key);
     }
-    return result ?? false;
   }
 
   return {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -5,7 +5,6 @@
  */
 import { createRecorder, type Recorder } from "../account/events.ts";
 import type { Member } from "../control/commands.ts";
-import { claimMethod, settleMethod } from "../control/node_methods.ts";
 import { errorFields } from "../core/errors.ts";
 import { createRateLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
@@ -17,23 +16,24 @@
 import { createRateBudget } from "../ingress/budget.ts";
 import { createExchanger } from "../ingress/exchange.ts";
 import type { SilenceFinding } from "../ingress/attempt_recovery.ts";
-import type { ClaimService } from "../ingress/claim_service.ts";
 import { createIngress, type Ingress } from "../ingress/ingress.ts";
 import { createPeerPool, type PeerPool } from "../ingress/peer_pool.ts";
 import { createMetrics, type Metrics } from "../metrics/metrics.ts";
 import type { Channel, Listener, Network } from "../network/channel.ts";
-import type { Frame } from "../network/frames.ts";
 import { createLoopbackNetwork } from "../network/local.ts";
 import type { Rpc } from "../rpc/rpc.ts";
 import { type EventLoopLag, noLag } from "../time/event_loop_lag.ts";
 import { sleep, type Timer } from "../time/timer.ts";
+import { createClaimClient } from "./claim_client.ts";
 import { createControlClient } from "./control_client.ts";
 import { createDepartures, type Departures } from "./departures.ts";
 import { createDirectory, type Directory } from "./directory.ts";
 import { type FreezeWatch, watchFreezes } from "./freeze_watch.ts";
 import { exposeNodeMetrics } from "./node_metrics.ts";
+import { createPeerProbes } from "./peer_probes.ts";
 import { createRegistration } from "./registration.ts";
 import { createReportRefresh } from "./report_refresh.ts";
+import { createServiceBroadcast } from "./service_broadcast.ts";
 import { createSuspicionReports } from "./suspicion_reports.ts";
 import { createSync, type Sync } from "./sync.ts";
 
@@ -218,21 +218,6 @@
     logger,
     perSecond: MAX_SILENCE_LOG_LINES_PER_S,
   });
-  const claims: ClaimService = {
-    async claim(claim, deadlineAt) {
-      const result = await client.callLeader(claimMethod, {
-        request: { kind: "claim", ...claim },
-        deadlineAt,
-      });
-      return result ?? { kind: "unavailable" };
-    },
-    settle(settlement) {
-      void client.callLeader(settleMethod, {
-        request: settlement,
-        deadlineAt: timer.now() + DEFAULT_TIMEOUTS.idle_ping_ms,
-      });
-    },
-  };
   const ingress = createIngress({
     vm,
     domain,
@@ -241,7 +226,7 @@
     incarnation,
     directory,
     exchanger,
-    claims,
+    claims: createClaimClient({ client, timer }),
     subscribe: sync.subscribe,
     onNewerVersion: sync.catchUp,
     timer,
@@ -264,7 +249,8 @@
     recorder,
     metrics,
     createBackend: options.createBackend,
-    shareSuspicion: (frame) => void broadcastSuspicion(frame),
+    shareSuspicion: (frame) =>
+      void broadcastToService(frame, guard.announced?.service ?? ""),
     suspicionReports,
     onNewerVersion: sync.catchUp,
     onServerLeaving: (boot) => void leave(boot),
@@ -276,10 +262,15 @@
     queued: () => guard.load().queued,
     requestReport: checkHealth,
   });
-  const probeBudget = createRateBudget(
+  const broadcastToService = createServiceBroadcast({ vm, directory, pool });
+  const probePeers = createPeerProbes({
+    vm,
+    directory,
+    pool,
     timer,
-    () => directory.global?.limits.measuring.probes_per_node_per_s ?? 0,
-  );
+    metrics,
+    hints: () => ingress.hints,
+  });
   const healthBudget = createRateBudget(
     timer,
     () => directory.global?.limits.measuring.probes_per_server_per_s ?? 0,
@@ -392,45 +383,10 @@
     return current !== undefined && await registration.register(current);
   }
 
-  async function broadcastSuspicion(frame: Frame): Promise<void> {
-    const service = guard.announced?.service ?? "";
-    const members = directory.service(service)?.members ?? [];
-    await Promise.all(members.map(async ({ server, address }) => {
-      if (server === vm) {
-        return;
-      }
-      try {
-        const channel = await pool.take(address);
-        await channel.send(frame);
-        pool.release(channel);
-      } catch {
-        // An unreachable guard is informed again at the next crash.
-      }
-    }));
-  }
-
-  /** Pings guards of subscribed services that lack a recent load report. */
-  async function probeUnreportedMembers(): Promise<void> {
-    for (const service of Object.keys(directory.known.services)) {
-      for (const peer of directory.service(service)?.members ?? []) {
-        const needsProbe = peer.server !== vm && directory.inService(peer) &&
-          ingress.hints.lacksRecentReport(peer.server);
-        if (!needsProbe || !probeBudget.take()) {
-          continue;
-        }
-        metrics.count("probes");
-        const load = await pool.ping(peer.address);
-        if (load) {
-          ingress.hints.recordLoad(peer.server, load);
-        }
-      }
-    }
-  }
-
   async function probeTask(): Promise<void> {
     while (!signal.aborted) {
       await sleep(timer, PROBE_INTERVAL_MS, { signal });
-      await probeUnreportedMembers();
+      await probePeers();
       if (guard.announced && guard.load().inFlight === 0) {
         await checkHealth();
       }
--- a/tests/scenario/leaving_test.ts
+++ b/tests/scenario/leaving_test.ts
@@ -131,6 +131,24 @@
   t.equal(countSince(world, "vm1", since), 0);
 });
 
+test("a server that says that it leaves gets no more requests from nodes that control does not reach", async (t) => {
+  const world = await startSmallWorld({
+    seed: 25,
+    servers: 3,
+    reportsLoad: true,
+  });
+  await sendCalls(world, { via: "vm3", durationMs: 1_000 });
+  // Neither the server's node nor the one that sends can call control.
+  world.rpc.decideDelivery = ({ from }) => ({
+    lost: from === "vm1" || from === "vm3",
+    delayMs: 1,
+  });
+  world.vm("vm1").server.saysLeaving = true;
+  const since = world.timer.now() + DRAIN_MS;
+  await sendCalls(world, { via: "vm3", durationMs: 6_000 });
+  t.equal(countSince(world, "vm1", since), 0);
+});
+
 test("a new run of a server that left gets requests", async (t) => {
   const world = await startSmallWorld({
     seed: 23,
