--- a/src/guard/request_limit.ts
+++ b/src/guard/request_limit.ts
@@ -24,6 +24,11 @@
 }
 
 const MS_PER_SECOND = 1_000;
+/**
+ * Lowest rate that is kept, in requests a second: a server that takes none for
+ * now gets a few requests, whose answers tell when it takes more.
+ */
+const MIN_PER_SECOND = 0.2;
 /** Time by which requests may start early, so that a short burst need not wait. */
 const BURST_MS = 250;
 
@@ -51,7 +56,7 @@
     },
     noteAnswer(perSecond, sentAt) {
       if (perSecond !== undefined) {
-        intervalMs = MS_PER_SECOND / perSecond;
+        intervalMs = MS_PER_SECOND / Math.max(MIN_PER_SECOND, perSecond);
         namedAt = timer.now();
       } else if (sentAt >= namedAt) {
         // An earlier request's answer may only have overtaken the naming.
--- a/src/guard/request_limit_test.ts
+++ b/src/guard/request_limit_test.ts
@@ -26,7 +26,7 @@
 }
 
 test("a limited server gets what it takes in any four seconds, and no more", async (t) => {
-  for (const perSecond of [0.5, 3, 19.4]) {
+  for (const perSecond of [0.2, 0.5, 3, 19.4]) {
     const timer = createFakeTimer();
     const limit = createRequestLimit(timer);
     limit.noteAnswer(perSecond, timer.now());
@@ -69,3 +69,15 @@
   t.equal(limit.pauseMs, 0);
   t.end();
 });
+
+test("a server that takes no requests gets a few, which tell when that ends", async (t) => {
+  const timer = createFakeTimer();
+  const limit = createRequestLimit(timer);
+  limit.noteAnswer(0, timer.now());
+  const starts = await startAll(limit, timer);
+  t.ok(starts.length > 0);
+  t.ok(starts.length <= 3 * TOLERATED_REQUESTS, `${starts.length} requests`);
+  limit.noteAnswer(10, timer.now());
+  await timer.advance(5_000);
+  t.equal(limit.pauseMs, 0, "a higher rate applies soon");
+});
