Take an order that comes long after its connection for a late one (EVAC, DRAIN)

A client that connects for a call sends it at once, so the first call of a connection counts as late if it comes over a second after it: an evacuation changes nothing and is answered 503; a DELETE counts only if the server does not say that it is healthy. A second call on the connection counts, so a client that connects ahead is not shut out.

--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -4,6 +4,7 @@
  * of their requests.
  * @module
  */
+import { performance } from "node:perf_hooks";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
@@ -14,6 +15,13 @@
   readonly unused: boolean;
   /** Whether no request is being received, and no response is pending. */
   readonly idle: boolean;
+  /**
+   * Time from the accept of the connection to its first request in milliseconds;
+   * 0 before that.
+   */
+  readonly firstRequestDelayMs: number;
+  /** Whether a request is the first one of the connection. */
+  isFirst(request: IncomingMessage): boolean;
   /** Whether requests that arrive from now on are not handled. */
   readonly refusing: boolean;
   /** The latest request that is handled, and its response. */
@@ -65,6 +73,9 @@
   /** Responses that are not closed yet, in the order of their requests. */
   const pending = new Set<ServerResponse>();
   let waiting: Waiting[] = [];
+  const acceptedAt = performance.now();
+  let first: Exchange | undefined;
+  let firstRequestDelayMs = 0;
   let latest: Exchange | undefined;
   let refusing = false;
 
@@ -87,6 +98,10 @@
     get idle() {
       return pending.size === 0 && (latest?.request.complete ?? true);
     },
+    get firstRequestDelayMs() {
+      return firstRequestDelayMs;
+    },
+    isFirst: (request) => first?.request === request,
     get refusing() {
       return refusing;
     },
@@ -101,6 +116,10 @@
       runWaiting();
     },
     add(exchange) {
+      if (!first) {
+        first = exchange;
+        firstRequestDelayMs = performance.now() - acceptedAt;
+      }
       latest = exchange;
       const { response } = exchange;
       pending.add(response);
@@ -166,6 +185,16 @@
   return socket.destroyed || socket.readableEnded;
 }
 
+/**
+ * Returns for how long a request may have been on its way, in milliseconds: a
+ * client that connects for a request sends it at once. It is 0 for later requests
+ * of a connection, about which that does not tell anything.
+ */
+export function maxTransitMs(request: IncomingMessage): number {
+  const connection = connectionOf.get(request.socket);
+  return connection?.isFirst(request) ? connection.firstRequestDelayMs : 0;
+}
+
 /** Returns the connection of a socket; `undefined` for an untracked one. */
 export function connectionOfSocket(socket: Socket): Connection | undefined {
   return connectionOf.get(socket);
--- a/tests/platform/late_leaves_test.ts
+++ b/tests/platform/late_leaves_test.ts
@@ -3,6 +3,8 @@
  * server may have started again under its id, and the call would remove the new
  * start. A call of a server that still leaves has its effect.
  */
+import { once } from "node:events";
+import { connect } from "node:net";
 import { test } from "tap";
 import { stallProcess } from "../stall.ts";
 import type { CloseMode } from "../stall_clients.ts";
@@ -10,6 +12,7 @@
 import {
   callUrl,
   type Harness,
+  HOST,
   INSTANCE,
   sendRequest,
   startServingHarness,
@@ -79,3 +82,21 @@
   });
   t.equal(again.status, 200);
 });
+
+test("a removal that comes long after its connection does not stop a healthy server", async (t) => {
+  const harness = await startServingHarness();
+  t.teardown(harness.stop);
+  const socket = connect(Number(new URL(harness.nodeApi).port), HOST);
+  t.teardown(() => socket.destroy());
+  await once(socket, "connect");
+  await new Promise((resolve) => setTimeout(resolve, 1_100));
+  const call = `DELETE /instances/${INSTANCE} HTTP/1.1\r\nhost: node\r\n\r\n`;
+  socket.write(call);
+  const [late] = await once(socket, "data");
+  t.match(String(late), /^HTTP\/1\.1 503 /);
+  t.ok(await isServed(harness));
+  socket.write(call);
+  const [again] = await once(socket, "data");
+  t.match(String(again), /^HTTP\/1\.1 200 /, "it may be sent again");
+  t.notOk(await isServed(harness));
+});
--- a/tests/platform/late_orders_test.ts
+++ b/tests/platform/late_orders_test.ts
@@ -3,27 +3,32 @@
  * operator gave it up and sent it elsewhere: it undid an evacuation that was
  * acknowledged meanwhile. Here it is read after a stall of the process.
  */
+import { once } from "node:events";
+import { connect } from "node:net";
 import { test } from "tap";
 import { type ClientGroup, type CloseMode } from "../stall_clients.ts";
 import { stallProcess } from "../stall.ts";
-import { callUrl, startServingHarness, ZONE } from "./harness.ts";
+import { callUrl, HOST, startServingHarness, ZONE } from "./harness.ts";
 
 const PATH = `/evacuations/${ZONE}`;
 const harness = await startServingHarness();
 const { control } = harness.process;
 const portOf = (url: string): number => Number(new URL(url).port);
 
+function formatOrder(method: "POST" | "DELETE"): string {
+  return `${method} ${PATH} HTTP/1.1\r\nhost: control\r\n` +
+    "content-length: 0\r\n\r\n";
+}
+
 function createOrder(
   method: "POST" | "DELETE",
   closeMode: CloseMode,
 ): ClientGroup {
-  const order = `${method} ${PATH} HTTP/1.1\r\nhost: control\r\n` +
-    "content-length: 0\r\n\r\n";
   return {
     port: portOf(harness.operator),
     closeMode,
     until: ["\r\n\r\n"],
-    payloads: [Buffer.from(order)],
+    payloads: [Buffer.from(formatOrder(method))],
   };
 }
 
@@ -94,6 +99,22 @@
   t.ok(isOut());
 });
 
+test("an order that comes long after its connection changes nothing, but may be sent again on it", async (t) => {
+  t.equal(await order("POST"), 200);
+  const socket = connect(portOf(harness.operator), HOST);
+  t.teardown(() => socket.destroy());
+  await once(socket, "connect");
+  await new Promise((resolve) => setTimeout(resolve, 1_100));
+  socket.write(formatOrder("DELETE"));
+  const [late] = await once(socket, "data");
+  t.match(String(late), /^HTTP\/1\.1 503 /);
+  t.ok(isOut());
+  socket.write(formatOrder("DELETE"));
+  const [again] = await once(socket, "data");
+  t.match(String(again), /^HTTP\/1\.1 200 /);
+  t.notOk(isOut());
+});
+
 test("an order that is in time is carried out, and acknowledged again", async (t) => {
   t.equal(await order("DELETE"), 200);
   t.equal(await order("DELETE"), 200);
