--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -14,15 +14,19 @@
 const SERVICE = "lot-service";
 const NODES = 2;
 const SLOTS = 14;
-/** Share of the answers that are early, as `garble` has it at most. */
+/** Share of a garbling server's answers that are early. */
 const EARLY_SHARE = 0.05;
-const REQUESTS = 500;
+/** One of the two servers garbles, for some seconds at a time. */
+const GARBLING_SERVERS = 1;
+const GARBLE_MS = 5_500;
+const GARBLE_EVERY_MS = 7_500;
+const REQUESTS = 1_100;
 /** Mean time between two requests; they come at random. */
-const GAP_MS = 40;
+const GAP_MS = 33;
 const BODY_BYTES = 192 * 1024;
 const PARTS = 24;
 /** Time in which a client sends its body. */
-const UPLOAD_MS = 240;
+const UPLOAD_MS = 400;
 const WORK_MS = 20;
 const DEADLINE_MS = 1_500;
 
@@ -56,8 +60,9 @@
 }
 
 /** Starts the stand-in of a backend server beside a node. */
-async function startServer(node, record) {
+async function startServer(node, { record, garbles }) {
   const heartbeats = new Heartbeats(node, { id: `i-${node.number}`, slots: SLOTS });
+  const startedAt = Date.now();
   let running = 0;
   let requests = 0;
   let early = 0;
@@ -68,8 +73,12 @@
 
   /** Whether this answer is early; the share stays below the limit. */
   function isEarly() {
+    const phaseMs = (Date.now() - startedAt) % GARBLE_EVERY_MS;
+    if (!TROUBLE || !garbles || phaseMs > GARBLE_MS) {
+      return false;
+    }
     requests++;
-    if (!TROUBLE || early + 1 > requests * EARLY_SHARE) {
+    if (early + 1 > requests * EARLY_SHARE) {
       return false;
     }
     early++;
@@ -195,8 +204,8 @@
   });
   record.note(`the manifest was answered ${manifest.status}`);
   await fleet.waitUntilReady();
-  for (const node of fleet.nodes) {
-    await startServer(node, record);
+  for (const [index, node] of fleet.nodes.entries()) {
+    await startServer(node, { record, garbles: index < GARBLING_SERVERS });
   }
   await sleep(4_000);
   const answers = [];
--- a/review/lib2/record.mjs
+++ b/review/lib2/record.mjs
@@ -54,6 +54,9 @@
     process.exit(exitCode);
   }
 
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => void finish(2));
+  }
   record.note(TROUBLE ? "with the disruption" : "without the disruption");
   try {
     await play({ fleet, record });
