--- a/review/lib2/fleet.mjs
+++ b/review/lib2/fleet.mjs
@@ -6,7 +6,7 @@
  */
 import { spawn } from "node:child_process";
 import { createWriteStream, mkdirSync, mkdtempSync } from "node:fs";
-import { readFileSync, rmSync, writeFileSync } from "node:fs";
+import { readFileSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -167,13 +167,22 @@
       ...(isNode
         ? { app_addr: address(PORTS.app), service: this.service }
         : { data_dir: join(this.folder, "data") }),
-      bounds: BOUNDS,
+      bounds: { ...BOUNDS, ...this.changedBounds },
     };
   }
 
-  start() {
+  /** Writes the settings file, with some bounds changed from now on. */
+  writeSettings(changedBounds = {}) {
+    this.changedBounds = { ...this.changedBounds, ...changedBounds };
     const template = readFileSync(join(ROOT, "deploy/process.toml"), "utf8");
-    writeFileSync(this.settingsFile, renderTemplate(template, this.fields()));
+    const text = renderTemplate(template, this.fields());
+    // Readers see the old file or the new one, never a part.
+    writeFileSync(`${this.settingsFile}.new`, text);
+    renameSync(`${this.settingsFile}.new`, this.settingsFile);
+  }
+
+  start() {
+    this.writeSettings();
     const [command, ...words] = commandOf(this.role);
     const { PATH, HOME, LANG } = process.env;
     this.child = spawn(command, words, {
--- a/review/lib2/heartbeats.mjs
+++ b/review/lib2/heartbeats.mjs
@@ -17,6 +17,13 @@
     this.slots = slots;
     this.born = Date.now();
     this.state = "ready";
+    /** Time until which the server is cold. */
+    this.coldUntil = 0;
+  }
+
+  /** Time for which the server stays cold, in milliseconds. */
+  get coldMs() {
+    return Math.max(0, this.coldUntil - Date.now());
   }
 
   async send() {
@@ -33,7 +40,7 @@
         version: "v1",
         slots: this.slots,
         state: this.state,
-        cold_remaining: "0ms",
+        cold_remaining: `${this.coldMs}ms`,
         seq: ++this.#seq,
         born: this.born,
       }),
