--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -61,7 +61,10 @@
 
 /** Starts the stand-in of a backend server beside a node. */
 async function startServer(node, { record, garbles }) {
-  const heartbeats = new Heartbeats(node, { id: `i-${node.number}`, slots: SLOTS });
+  const heartbeats = new Heartbeats(node, {
+    id: `i-${node.number}`,
+    slots: SLOTS,
+  });
   const startedAt = Date.now();
   let running = 0;
   let requests = 0;
