--- a/review/lib3/deployment.mjs
+++ b/review/lib3/deployment.mjs
@@ -227,7 +227,7 @@
   let stopping = false;
   const started = [];
 
-  for (const machine of machines) {
+  function prepare(machine) {
     const { ip, role } = machine;
     machine.address = (name) => `${ip}:${port[name]}`;
     machine.file = join(folder, `${machine.name}.toml`);
@@ -239,6 +239,7 @@
       mkdirSync(machine.data);
     }
   }
+  machines.forEach(prepare);
 
   function writeSettings(machine, extra = {}) {
     const { ip, role, zone, service } = machine;
@@ -317,6 +318,44 @@
       bootstrap = false;
       machines.forEach((machine) => writeSettings(machine));
     },
+    /** Removes a core machine for good; its process is killed. */
+    removeCore(machine) {
+      machine.keepDown = true;
+      deployment.cores = deployment.cores.filter((one) => one !== machine);
+      record.write("core.removed", { machine: machine.name });
+      machine.child.kill("SIGKILL");
+    },
+    /**
+     * Adds a core machine at a new address with an empty disk. Its settings name
+     * three of the present core machines.
+     */
+    addCore(zone) {
+      const number = machines.filter(({ role }) => role === "control").length + 1;
+      const machine = {
+        name: `core-${number}`,
+        ip: `${net}.${9 + number}`,
+        zone,
+        role: "control",
+      };
+      prepare(machine);
+      const present = deployment.cores.slice(-3)
+        .map(({ ip }) => `${ip}:${port.control}`);
+      machines.push(machine);
+      writeSettings(machine, { seeds: present, bootstrap: false });
+      record.write("core.added", { machine: machine.name, zone });
+      start(machine);
+      deployment.cores = [...deployment.cores, machine];
+      return machine;
+    },
+    /** Returns the core machine that was the last to begin to lead. */
+    findLeader() {
+      const leads = deployment.cores.flatMap((machine) =>
+        machine.output.split("\n")
+          .filter((line) => line.includes("event=replica.leads"))
+          .map((line) => ({ machine, at: /time=(\S+)/.exec(line)[1] }))
+      );
+      return leads.sort((one, other) => one.at < other.at ? 1 : -1)[0]?.machine;
+    },
     signal(machine, name) {
       record.write("signal", { machine: machine.name, name });
       machine.child.kill(name);
