--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,135 +1,102 @@
 /**
- * Planned stops of nodes in calm, one after the other. Each stop is asked for a
- * second time while the first is under way.
+ * Machines of the core are replaced one after the other, each when the successor
+ * of the one before has had its time. Checks that the manifest can still be read
+ * and changed once the core has been calm again.
  * @module
  */
-import { randomBytes } from "node:crypto";
-import { request } from "node:http";
+import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { LIMITS, PORTS, route, service, sleep } from "../lib2/fleet.mjs";
-import { runCase, TROUBLE } from "../lib2/record.mjs";
-import { startServer } from "../lib2/server.mjs";
+import {
+  BROKEN,
+  call,
+  formatVersion,
+  HELD,
+  manifest,
+  NOT_RUN,
+  route,
+  runCase,
+  service,
+  sleep,
+  waitFor,
+} from "../lib3/deployment.mjs";
 
-const SERVICE = "lot-service";
-const NODES = 3;
-const WORK_MS = 240;
-const DEADLINE_MS = 1_500;
-const GAP_MS = 40;
-const GRACE_MS = 6_000;
-/** Time between the two orders to stop a machine. */
-const SECOND_STOP_MS = 400;
-const CALM_MS = 5_000;
+const HERE = dirname(fileURLToPath(import.meta.url));
+const REPLACEMENTS = 4;
+/** Time after which the empty machine comes. */
+const GONE_MS = 1_000;
+/** `catch_up` of the site, with a margin. */
+const CATCH_UP_MS = 4_200;
+const SETTLE_MS = 12_000;
+/** Calm before the check: `stability_window`, then `recovery`. */
+const CALM_MS = 18_000;
+/** Time for which the manifest is asked for; `stability_window` at least. */
+const READ_MS = 20_000;
+/** Time in which a proper order has to be acknowledged. */
+const ACK_MS = 4_000;
 
-/** Sends one request; resolves with what its connection ended with. */
-function send(node, { id, kind }) {
-  return new Promise((resolve) => {
-    const sent = request({
-      host: node.ip,
-      port: PORTS.outbound,
-      method: kind === "book" ? "POST" : "GET",
-      path: `/${kind}/1`,
-      agent: false,
-      headers: {
-        host: "ficu95.example",
-        "x-mustardcross-request-id": id,
-        "x-mustardcross-request-deadline-ms": DEADLINE_MS,
-      },
-    }, (answer) => {
-      answer.resume();
-      answer.on("error", () => {});
-      answer.on("close", () =>
-        resolve({
-          whole: answer.complete,
-          text: `${answer.statusCode}${answer.complete ? "" : ", cut"}`,
-        }));
-    });
-    sent.on("error", (error) => resolve({ whole: false, text: error.code }));
-    sent.end(kind === "book" ? "x".repeat(300) : undefined);
+await runCase(HERE, async ({ record, trouble, start }) => {
+  const deployment = await start({
+    cores: ["a", "a", "b", "c", "d"],
+    sidecars: [{ zone: "a", service: "desk" }],
   });
-}
-
-await runCase(fileURLToPath(new URL(".", import.meta.url)), async (play) => {
-  const { fleet, record } = play;
-  const begun = new Set();
-  const pending = new Set();
-  /** Nodes that take no new requests, as their readiness says. */
-  const stopping = new Set();
-  let playing = true;
-
-  async function sendOne(node, kind) {
-    const id = randomBytes(8).toString("hex");
-    record.note(`a client sends ${id} (${kind}) to ${node.name}`);
-    const end = await send(node, { id, kind });
-    record.note(`${node.name} ended ${id}: ${end.text}`);
-    if (!end.whole && begun.has(id)) {
-      record.violation(
-        `${node.name} closed the connection of ${id} (${kind}) without a ` +
-          "complete answer, after a server had begun to work on it",
-      );
-    }
+  const resources = [
+    service("desk"),
+    route("look", { service: "desk" }),
+  ];
+  async function put(version, after, forMs) {
+    return await deployment.order({
+      method: "PUT",
+      path: "/config",
+      after,
+      body: manifest(version, resources),
+      forMs,
+    });
   }
-
-  async function sendAll() {
-    for (let number = 0; playing; number++) {
-      const node = fleet.nodes[number % NODES];
-      if (!stopping.has(node)) {
-        const sending = sendOne(node, number % 2 === 0 ? "book" : "look");
-        pending.add(sending);
-        void sending.then(() => pending.delete(sending));
-      }
-      await sleep(GAP_MS);
-    }
+  if (await put(1, 0, 20_000) !== 200) {
+    return NOT_RUN;
   }
-
-  async function stop(node) {
-    record.note(`${node.name} gets SIGTERM`);
-    node.signal("SIGTERM");
-    await sleep(SECOND_STOP_MS);
-    if (TROUBLE) {
-      record.note(`${node.name} gets SIGTERM once more`);
-      node.signal("SIGTERM");
+  deployment.endBootstrap();
+  // All five have joined by then.
+  await sleep(SETTLE_MS);
+  let version = 1;
+  /** Each zone has one spare machine. */
+  const spares = ["a", "b", "c", "d"];
+  for (let index = 0; index < REPLACEMENTS; index++) {
+    if (!trouble) {
+      await sleep(GONE_MS + CATCH_UP_MS);
+      continue;
+    }
+    const leader = deployment.findLeader();
+    if (!leader) {
+      return NOT_RUN;
+    }
+    deployment.removeCore(leader);
+    await sleep(GONE_MS);
+    const zone = spares.includes(leader.zone) ? leader.zone : spares[0];
+    spares.splice(spares.indexOf(zone), 1);
+    deployment.addCore(zone);
+    await sleep(CATCH_UP_MS);
+    if (index < REPLACEMENTS - 1 && await put(version + 1, version, ACK_MS) === 200) {
+      version++;
     }
-    stopping.add(node);
-    const kill = setTimeout(() => {
-      record.note(`${node.name} gets SIGKILL after the grace`);
-      node.signal("SIGKILL");
-    }, GRACE_MS - SECOND_STOP_MS);
-    record.note(`${node.name} has ended: ${await node.exit}`);
-    clearTimeout(kill);
-  }
-
-  fleet.add("control", 3);
-  fleet.add("node", NODES, SERVICE);
-  fleet.start();
-  await fleet.putManifest({
-    after: 0,
-    version: 1,
-    resources: [
-      route("book", { kind: "non_idempotent", service: SERVICE }),
-      route("look", { kind: "idempotent", service: SERVICE }),
-      service(SERVICE),
-      LIMITS,
-    ],
-  });
-  await fleet.waitUntilReady();
-  for (const node of fleet.nodes) {
-    await startServer(node, {
-      record,
-      workMs: WORK_MS,
-      onRun: (id) => begun.add(id),
-    });
   }
   await sleep(CALM_MS);
-  const sending = sendAll();
-  await sleep(CALM_MS);
-  for (const node of fleet.nodes) {
-    await stop(node);
-    node.start();
-    await fleet.waitUntilReady();
-    stopping.delete(node);
-    await sleep(CALM_MS);
-  }
-  playing = false;
-  await sending;
-  await Promise.all(pending);
+  const running = deployment.cores.filter(({ child }) => child.exitCode === null);
+  record.write("check.cores", { running: running.map(({ name }) => name) });
+  const acked = await put(version + 1, version, ACK_MS);
+  const expected = acked === 200 ? version + 1 : version;
+  const wanted = `"version":"${formatVersion(expected)}"`;
+  let reads = 0;
+  const came = await waitFor(async () => {
+    const core = running[reads++ % running.length];
+    const answer = await call(core.address("control"), { path: "/config" });
+    record.write("operator.read", { core: core.name, status: answer.status });
+    return answer.status === 200 && answer.text.includes(wanted);
+  }, READ_MS);
+  record.write("check", { acknowledged: version, changeStatus: acked, reads, came });
+  console.log(
+    `${running.length} of 5 core machines run; the change got ${acked || "no answer"}; ` +
+      `the manifest ${came ? "came" : `did not come in ${reads} reads`}`,
+  );
+  return came ? HELD : BROKEN;
 });
