--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -31,6 +31,8 @@
 const BOUND_MS = 500;
 const DARK_AFTER_MS = 550;
 const DARK_MS = 4_500;
+/** `cold_start` of the service. */
+const COLD_MS = 3_000;
 const SETTLE_MS = 5_000;
 const MIN_REQUESTS = 8;
 const MAX_SHARE = 0.25;
@@ -125,9 +127,6 @@
       record,
       slots: 24,
       handle(request, response) {
-        if (request.url === "/health" || isDark()) {
-          return isDark();
-        }
         const id = request.headers["x-mustardcross-request-id"];
         const stopAt = Date.now() +
           Number(request.headers["x-mustardcross-request-deadline-ms"]);
@@ -169,13 +168,24 @@
   }
   await sleep(DARK_AFTER_MS - DOWNLOADS * DOWNLOAD_INTERVAL_MS);
   if (trouble) {
+    const fallen = deployment.nodes.filter(({ zone }) => zone === "c")
+      .map(({ server }) => server);
     record.write("servers.dark", { zone: "c" });
     dark = true;
+    for (const server of fallen) {
+      server.dark = true;
+      server.stopBeats();
+    }
     await sleep(DARK_MS);
-    // They come back as new starts; nothing of before is left.
+    // They come back as new starts, cold; nothing of before is left.
     dark = false;
-    deployment.nodes.filter(({ zone }) => zone === "c")
-      .forEach(({ server }) => server.endOpen());
+    for (const server of fallen) {
+      server.endOpen();
+      server.server.closeAllConnections();
+      server.dark = false;
+      server.restart(`${server.instance}-again`, COLD_MS);
+      server.startBeats();
+    }
     record.write("servers.back", { zone: "c" });
   }
   const ends = await Promise.all(downloads);
--- a/review/lib3/deployment.mjs
+++ b/review/lib3/deployment.mjs
@@ -416,14 +416,22 @@
   let state = "ready";
   let instance = id;
   let born = Date.now();
+  /** It was started before the traffic, so it is not cold at first. */
+  let coldUntil = 0;
   let timer;
   const runs = [];
   const server = createServer({ keepAliveTimeout: 10_000 }, (request, response) => {
     const requestId = request.headers["x-mustardcross-request-id"];
     const loadHeaders = { "x-mustardcross-server-load": `${api.running},0,${slots},100` };
+    if (api.dark) {
+      // A silent server answers nothing, its status check included.
+      request.resume();
+      return;
+    }
     if (request.url === "/health") {
       response.writeHead(state === "ready" ? 200 : 503, {
         "x-mustardcross-instance-id": instance,
+        "x-mustardcross-cold-ms": String(Math.max(0, coldUntil - Date.now())),
         ...loadHeaders,
       });
       response.end();
@@ -444,6 +452,7 @@
   const api = {
     node,
     running: 0,
+    dark: false,
     runs,
     server,
     get instance() {
@@ -490,7 +499,7 @@
           version: "v1",
           slots,
           state,
-          cold_remaining: "0ms",
+          cold_remaining: `${Math.max(0, coldUntil - Date.now())}ms`,
           seq: ++sequence,
           born,
         }),
@@ -500,9 +509,11 @@
     setState(next) {
       state = next;
     },
-    restart(nextId, nextBorn = Date.now()) {
+    /** Starts anew under another id; it holds nothing of before and is cold. */
+    restart(nextId, coldMs) {
       instance = nextId;
-      born = nextBorn;
+      born = Date.now();
+      coldUntil = born + coldMs;
       sequence = 0;
       state = "ready";
     },
@@ -573,17 +584,37 @@
   let code = NOT_RUN;
   let deployment;
   const cleanUps = [];
+  let ending = false;
+  async function finish() {
+    ending = true;
+    await Promise.allSettled(cleanUps.map((task) => task()));
+    await deployment?.stop();
+    record.write("case.end", { code, trouble: give.trouble });
+    await record.close();
+    console.log(["held", "broken", "not run"][code]);
+    process.exit(code);
+  }
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.once(signal, () => {
+      code = NOT_RUN;
+      void finish();
+    });
+  }
   const give = {
     record,
     trouble: process.env.TROUBLE !== "0",
     cleanUp: (task) => cleanUps.push(task),
     async start(options) {
       deployment = await startDeployment({ record, ...options });
+      if (ending) {
+        await deployment.stop();
+      }
       return deployment;
     },
   };
   try {
-    code = await body(give);
+    const result = await body(give);
+    code = ending ? NOT_RUN : result;
   } catch (error) {
     record.write("case.failed", { error: String(error?.stack ?? error) });
     console.error(error);
@@ -593,10 +624,7 @@
       writeFileSync(join(process.env.KEEP_LOGS, `${machine.name}.log`), machine.output);
     }
   }
-  await Promise.allSettled(cleanUps.map((task) => task()));
-  await deployment?.stop();
-  record.write("case.end", { code, trouble: give.trouble });
-  await record.close();
-  console.log(["held", "broken", "not run"][code]);
-  process.exit(code);
+  if (!ending) {
+    await finish();
+  }
 }
