A long body that one reader left is read on by the next

Cause: a loop that leaves the stream of a body early ends its generator, so discard() in the server for callers found nothing left to read, though the connection still held the rest.

The stream has no return any more: who stops early leaves the rest to the next reader.

--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -9,7 +9,9 @@
 
 /**
  * Returns a short body as a buffer and a longer one as a stream, which reads
- * from the connection no faster than it is consumed.
+ * from the connection no faster than it is consumed. A reader that stops before
+ * the end leaves the rest to the next reader of the stream; otherwise the rest
+ * would stay on the connection, in front of the client's next request.
  */
 export async function readBody(
   request: IncomingMessage,
@@ -31,17 +33,17 @@
     parts.push(next.value);
     size += next.value.length;
   }
-  async function* stream(): AsyncGenerator<Uint8Array> {
-    yield Buffer.concat(parts);
-    while (true) {
-      const next = await chunks.next();
-      if (next.done) {
-        return;
-      }
-      yield next.value;
+  let first: Buffer | undefined = Buffer.concat(parts);
+  async function next(): Promise<IteratorResult<Uint8Array, undefined>> {
+    if (first) {
+      const value = first;
+      first = undefined;
+      return { done: false, value };
     }
+    return await chunks.next();
   }
-  return stream();
+  // Without `return`, a loop over the stream does not end it by leaving early.
+  return { [Symbol.asyncIterator]: () => ({ next }) };
 }
 
 /** Reads a body of at most `limit` bytes; `undefined` if it is longer. */
--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -186,7 +186,7 @@
       await writeStream(response, reply.body);
     }
     if (!request.complete && !(call.body instanceof Uint8Array)) {
-      await discard(call.body);
+      await discard(call.body, request);
     }
   }
 
@@ -195,15 +195,25 @@
    * Otherwise the caller could not finish sending the body, nor send the next
    * request on the connection.
    */
-  async function discard(body: AsyncIterable<Uint8Array>): Promise<void> {
+  async function discard(
+    body: AsyncIterable<Uint8Array>,
+    request: IncomingMessage,
+  ): Promise<void> {
     let size = 0;
-    for await (const part of body) {
-      size += part.length;
-      if (size > MAX_DISCARDED_BYTES) {
-        throw new StepError(
-          "caller.discard",
-          "the unread rest of the request body exceeds the limit",
-        );
+    try {
+      for await (const part of body) {
+        size += part.length;
+        if (size > MAX_DISCARDED_BYTES) {
+          throw new StepError(
+            "caller.discard",
+            "the unread rest of the request body exceeds the limit",
+          );
+        }
+      }
+    } catch (error) {
+      // A caller that leaves meanwhile has its response already.
+      if (!request.destroyed) {
+        throw error;
       }
     }
   }
