A body that is not as long as declared never passes for a request

Cause: the client of backend servers wrote whatever came as a body behind the head, whatever length the head declared.

The runtime's check of the length is on for requests to servers. A mismatch ends the exchange as aborted and closes the connection: it shows nothing about the server.

Evidence: "a body that is not as long as declared is not sent as a whole request" failed before (the request with 5 of 10 bytes did not end in 2 minutes), passes now.

--- a/src/guard/http_backend.ts
+++ b/src/guard/http_backend.ts
@@ -60,6 +60,8 @@
   "HPE_HEADER_OVERFLOW",
   "HPE_CHUNK_EXTENSIONS_OVERFLOW",
 ]);
+/** The runtime's error code for a body that is not as long as declared. */
+const LENGTH_MISMATCH_CODE = "ERR_HTTP_CONTENT_LENGTH_MISMATCH";
 
 /**
  * Returns the idle time in milliseconds that an answer names for its
@@ -153,9 +155,11 @@
     headers: headers.flat(),
     maxHeaderSize: MAX_HEADER_BYTES,
   });
+  // What exceeds the declared length would be read as the next request.
+  Object.assign(clientRequest, { strictContentLength: true });
 
   function classifyFailure(code: string): BackendFailure {
-    if (aborted) {
+    if (aborted || code === LENGTH_MISMATCH_CODE) {
       return "aborted";
     }
     if (OVERFLOW_ERROR_CODES.has(code)) {
--- a/src/guard/http_backend_test.ts
+++ b/src/guard/http_backend_test.ts
@@ -133,3 +133,40 @@
   t.equal(maxOpen, 2);
   await backend.close();
 });
+
+test("a body that is not as long as declared is not sent as a whole request", async (t) => {
+  for (const length of [5, 15]) {
+    let connections = 0;
+    let received = "";
+    const server = createServer((socket) => {
+      connections++;
+      socket.on("error", () => {});
+      socket.on("data", (bytes) => {
+        received += bytes.toString("latin1");
+        if (received.endsWith("\r\n\r\n")) {
+          socket.write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole");
+        }
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+    t.teardown(() => server.close());
+    const backend = backendOf(server);
+    const failed = await fetchBody(backend, {
+      method: "POST",
+      headers: [["content-length", "10"]],
+      body: (async function* () {
+        yield Buffer.alloc(3, "b");
+        while (!received.endsWith("bbb")) {
+          await new Promise((resolve) => setTimeout(resolve, 5));
+        }
+        yield Buffer.alloc(length - 3, "b");
+      })(),
+    }).catch((error) => error);
+    t.equal((failed as BackendError).failure, "aborted");
+    const body = received.slice(received.indexOf("\r\n\r\n") + 4);
+    t.ok(body.length < 10, "the server does not get a whole body");
+    received = "";
+    t.equal(await fetchBody(backend), "whole");
+    t.equal(connections, 2, "the connection is not used again");
+  }
+});
