--- a/src/guard/guard.ts
+++ b/src/guard/guard.ts
@@ -12,6 +12,7 @@
 import type { EventLoopLag } from "../time/event_loop_lag.ts";
 import { sleep, type Timer } from "../time/timer.ts";
 import type { Channel } from "../network/channel.ts";
+import { holdExchangeOrder } from "../network/exchange_order.ts";
 import type { Attempt, Frame, Load } from "../network/frames.ts";
 import type { Directory } from "../node/directory.ts";
 import { createViewResponder } from "../node/view_request.ts";
@@ -393,7 +394,7 @@
         return await options.serveQuota?.(channel, frame);
       case "data":
       case "end":
-        // The remaining body of a request whose attempt was refused or aborted.
+        // The remaining body of a request whose attempt has ended.
         return;
       default:
         channel.close();
@@ -483,7 +484,8 @@
       admission.refuseWaiting("superseded");
       logger.error("guard.superseded", { incarnation });
     },
-    async serve(channel) {
+    async serve(connection) {
+      const channel = holdExchangeOrder(connection);
       try {
         while (!channel.closed) {
           const frame = await channel.receive();
--- a/src/ingress/attempt_recovery.ts
+++ b/src/ingress/attempt_recovery.ts
@@ -69,8 +69,11 @@
     context: ExchangeContext,
     silence: Silence,
   ): Promise<ExchangeEnd | undefined>;
-  /** Fences an attempt that has not started, and returns its state. */
-  fence(context: ExchangeContext): Promise<FenceState | "unreachable">;
+  /**
+   * Fences an attempt that has not started, and resolves with its state.
+   * Rejects with `StepError` if the guard does not state it.
+   */
+  fence(context: ExchangeContext): Promise<FenceState>;
   /** Requests the end of an attempt that the guard knows, and awaits it. */
   resume(context: ExchangeContext): Promise<ExchangeEnd>;
   /** Creates a reader of the frames of a channel. */
@@ -133,14 +136,19 @@
 
   async function fence(
     { channel, reader, request }: ExchangeContext,
-  ): Promise<FenceState | "unreachable"> {
+  ): Promise<FenceState> {
     const { attempt, incarnation, deadlineAt } = request;
     await channel.send({ kind: "fence", attempt, incarnation });
     const frame = await nextWhileReachable(reader, {
       peer: channel.peer,
       deadlineAt,
     });
-    return frame.kind === "fence_state" ? frame.state : "unreachable";
+    if (frame.kind !== "fence_state") {
+      throw new StepError("exchange.fence", `unexpected ${frame.kind}`, {
+        peer: channel.peer,
+      });
+    }
+    return frame.state;
   }
 
   /**
--- a/src/ingress/exchange_end.ts
+++ b/src/ingress/exchange_end.ts
@@ -12,6 +12,7 @@
   Frame,
   Refused,
 } from "../network/frames.ts";
+import { type BodyUpload, startUpload } from "./body_upload.ts";
 import type { FrameReader } from "./frame_reader.ts";
 import type { PeerPool } from "./peer_pool.ts";
 import type { Reachability } from "./reachability.ts";
@@ -64,6 +65,8 @@
   channel: Channel;
   reader: FrameReader;
   request: ExchangeRequest;
+  /** Body that is sent on this channel, once the guard has admitted it. */
+  upload?: BodyUpload;
 }
 
 /** Interprets the frames that a guard sends about an attempt. */
@@ -108,14 +111,24 @@
     });
   }
 
+  /**
+   * Gives the channel of an exchange back after the end of its attempt. With a
+   * part of the request's body still to be sent, it is closed: the next exchange
+   * would have that part in its own body.
+   */
+  function giveBack({ channel, upload }: ExchangeContext): void {
+    if (upload && !upload.complete) {
+      channel.close();
+    } else {
+      pool.release(channel);
+    }
+  }
+
   async function* readStream(
-    channel: Channel,
-    { first, reader, onEnd }: {
-      first: Uint8Array;
-      reader: FrameReader;
-      onEnd: () => void;
-    },
+    context: ExchangeContext,
+    { first, onEnd }: { first: Uint8Array; onEnd: () => void },
   ): AsyncGenerator<Uint8Array> {
+    const { channel, reader } = context;
     let complete = false;
     try {
       yield first;
@@ -138,7 +151,7 @@
     } finally {
       onEnd();
       if (complete) {
-        pool.release(channel);
+        giveBack(context);
       } else {
         channel.close();
       }
@@ -150,9 +163,10 @@
    * leaves, also while no data comes or before the stream is read.
    */
   function openStream(
-    { channel, reader, request }: ExchangeContext,
+    context: ExchangeContext,
     first: Uint8Array,
   ): Required<Pick<ReceivedAnswer, "body" | "close">> {
+    const { channel, request } = context;
     let ended = false;
     function close(): void {
       // After the end of the stream, the channel may serve another exchange.
@@ -161,9 +175,8 @@
       }
     }
     const release = request.signal.onCancel(close);
-    const body = readStream(channel, {
+    const body = readStream(context, {
       first,
-      reader,
       onEnd() {
         ended = true;
         release();
@@ -172,21 +185,6 @@
     return { body, close };
   }
 
-  async function sendStream(
-    channel: Channel,
-    stream: AsyncIterable<Uint8Array>,
-  ): Promise<void> {
-    try {
-      for await (const bytes of stream) {
-        await channel.send({ kind: "data", bytes });
-      }
-      await channel.send({ kind: "end" });
-    } catch {
-      // The guard must not take a cut request body for a complete one.
-      channel.close();
-    }
-  }
-
   function readEnd(
     frame: Frame,
     context: ExchangeContext,
@@ -197,7 +195,7 @@
       return undefined;
     }
     if (frame.kind === "admitted" && request.stream) {
-      void sendStream(channel, request.stream);
+      context.upload = startUpload(channel, request.stream);
       return undefined;
     }
     const isEnd = frame.kind === "answer" || frame.kind === "refused" ||
@@ -208,11 +206,11 @@
       });
     }
     if (frame.kind !== "answer") {
-      pool.release(channel);
+      giveBack(context);
       return frame;
     }
     if (!frame.streaming) {
-      pool.release(channel);
+      giveBack(context);
       return { kind: "answer", answer: frame, body: frame.body };
     }
     const stream = openStream(context, frame.body);
--- a/src/ingress/peer_pool.ts
+++ b/src/ingress/peer_pool.ts
@@ -3,6 +3,7 @@
  * a time. It is closed, and not reused, if its exchange was abandoned.
  * @module
  */
+import { StepError } from "../core/errors.ts";
 import type { Supervisor } from "../core/tasks.ts";
 import type { Channel, Network } from "../network/channel.ts";
 import type { Load } from "../network/frames.ts";
@@ -114,6 +115,7 @@
     return undefined;
   }
 
+  /** Pings on a channel; rejects if anything but a pong comes back. */
   async function pingOn(channel: Channel): Promise<Load | undefined> {
     await channel.send({ kind: "ping" });
     const frame = await withTimeout(timer, channel.receive(), {
@@ -121,7 +123,12 @@
       peer: channel.peer,
       timeoutMs: timeouts().silenceMs,
     });
-    return frame?.kind === "pong" ? frame.load : undefined;
+    if (frame?.kind !== "pong") {
+      throw new StepError("channel.ping", `got ${frame?.kind ?? "a close"}`, {
+        peer: channel.peer,
+      });
+    }
+    return frame.load;
   }
 
   async function ping(address: string): Promise<Load | undefined> {
--- a/src/quota/peers.ts
+++ b/src/quota/peers.ts
@@ -4,6 +4,7 @@
  * few requests wait for a node that is lost.
  * @module
  */
+import { StepError } from "../core/errors.ts";
 import type { PeerPool } from "../ingress/peer_pool.ts";
 import type { Frame } from "../network/frames.ts";
 import { type Timer, withTimeout } from "../time/timer.ts";
@@ -60,6 +61,12 @@
   };
 }
 
+/** Kinds of frames that answer those of a quota. */
+const ANSWER_KINDS: ReadonlySet<Frame["kind"]> = new Set([
+  "quota_answer",
+  "quota_leased",
+]);
+
 /** Creates an exchange over the channels of a pool. */
 export function createPoolExchange(
   pool: PeerPool,
@@ -80,9 +87,12 @@
           peer: address,
           timeoutMs,
         });
-        if (answer) {
-          pool.release(channel);
+        if (!answer || !ANSWER_KINDS.has(answer.kind)) {
+          throw new StepError("quota.exchange", "no answer to the frame", {
+            peer: address,
+          });
         }
+        pool.release(channel);
         return answer;
       } catch (error) {
         channel.close();
--- a/tests/platform/harness.ts
+++ b/tests/platform/harness.ts
@@ -7,6 +7,7 @@
 import {
   createServer,
   type IncomingHttpHeaders,
+  type IncomingMessage,
   type Server,
   type ServerResponse,
 } from "node:http";
@@ -49,6 +50,15 @@
   response: ServerResponse,
 ) => void;
 
+/**
+ * Handles a request whose body is not read yet. Returns whether it did; if not,
+ * the body is read and the behaviour of the server follows.
+ */
+export type EarlyBehaviour = (
+  incoming: IncomingMessage,
+  response: ServerResponse,
+) => boolean;
+
 /** Running product on the platform. */
 export interface Harness {
   /** URL of the operator API. */
@@ -66,6 +76,8 @@
   process: MustardcrossProcess;
   /** Replaces the behaviour of the backend server. */
   setBehaviour(behaviour: Behaviour): void;
+  /** Replaces the behaviour of the backend server before a body is read. */
+  setEarlyBehaviour(behaviour: EarlyBehaviour): void;
   /** Sets whether the backend server's health check succeeds. */
   setHealthy(healthy: boolean): void;
   /**
@@ -159,6 +171,7 @@
   options: {
     received: ReceivedRequest[];
     behaviour: () => Behaviour;
+    earlyBehaviour: () => EarlyBehaviour;
     healthy: () => boolean;
   },
 ): Promise<Server> {
@@ -171,6 +184,9 @@
       response.end();
       return;
     }
+    if (options.earlyBehaviour()(incoming, response)) {
+      return;
+    }
     let body = "";
     incoming.on("data", (part) => {
       body += part;
@@ -201,10 +217,12 @@
   const [operator, nodeApi, ready, callers, server] = await findFreePorts(5);
   const received: ReceivedRequest[] = [];
   let behaviour = answerNormally;
+  let earlyBehaviour: EarlyBehaviour = () => false;
   let healthy = true;
   const backend = await startBackend(server, {
     received,
     behaviour: () => behaviour,
+    earlyBehaviour: () => earlyBehaviour,
     healthy: () => healthy,
   });
   const control = parseSettings(formatSettings({
@@ -251,6 +269,9 @@
     setBehaviour(next) {
       behaviour = next;
     },
+    setEarlyBehaviour(next) {
+      earlyBehaviour = next;
+    },
     sendHeartbeat: (change = {}, id = INSTANCE) =>
       callUntilClear(`${harness.nodeApi}/instances/${id}`, {
         method: "PUT",
