CONFIG: voters that are gone give way to the replicas that replace them

A silent voter was demoted only after 6 s of silence towards one leader and from an even number, and each new leader counted anew.

A replica that is stopped as planned gives its vote up where the number of voters is even.

Safety: each step changes one replica, is appended after the one before is committed, and needs a quorum of what remains to answer, so quorums before and after overlap; what a stale voter misses no majority of its membership misses.

--- a/src/control/leadership.ts
+++ b/src/control/leadership.ts
@@ -14,6 +14,7 @@
   type PeerStatus,
   withLearner,
   withoutExpiredLearner,
+  withoutLeavingVoter,
   withoutSilentVoter,
   withPromotedLearner,
 } from "./membership_changes.ts";
@@ -37,6 +38,12 @@
   onRemoved: () => void;
 }
 
+/**
+ * Time for which a replica that is about to stop is not made a voter again, in
+ * milliseconds; it is silent by then, or it has restarted.
+ */
+const LEAVING_MS = 1_500;
+
 /** One term of leadership. */
 export interface Leadership {
   /**
@@ -65,6 +72,11 @@
    * committed yet, or if leadership is being handed over.
    */
   admit(replica: ReplicaInfo): boolean;
+  /**
+   * Makes a voter that is about to stop a learner, where the quorum bears no less
+   * without it. Returns false if it remains a voter for now.
+   */
+  release(identity: string): boolean;
   /** Brings one follower up to date and lets it take over the leadership. */
   handOver(): Promise<void>;
 }
@@ -89,6 +101,8 @@
     quorumTimeoutMs: tuning.electionMs,
     pollIntervalMs: tuning.heartbeatMs,
   });
+  /** Times at which replicas stated that they are about to stop. */
+  const leavingSince = new Map<string, number>();
   let handingOver = false;
   let firstIndex = 0;
 
@@ -175,8 +189,22 @@
       changeMembership(withLearner(log.membership, replica));
   }
 
+  function release(identity: string): boolean {
+    leavingSince.set(identity, timer.now());
+    const leaving = { identity, peers };
+    return changeMembership(withoutLeavingVoter(log.membership, leaving));
+  }
+
+  function isLeaving({ identity }: ReplicaInfo): boolean {
+    const since = leavingSince.get(identity) ?? -Infinity;
+    return timer.now() - since < LEAVING_MS;
+  }
+
   const peers: PeerStatus = {
     silenceMs: (replica) => timer.now() - answeredAt(replica),
+    isLeaving,
+    hasAnswered: (replica) =>
+      replica.identity === self.identity || replication.hasAnswered(replica),
     caughtUp(learner) {
       const matched = replication.matchedBy(learner);
       return matched >= log.commitIndex && matched > 0;
@@ -232,6 +260,7 @@
     advance,
     confirm: () => reads.confirm(firstIndex),
     admit,
+    release,
     async handOver() {
       handingOver = true;
       const target = chooseSuccessor();
--- a/src/control/local_leadership.ts
+++ b/src/control/local_leadership.ts
@@ -42,6 +42,8 @@
    * Adds a replica as a learner; returns false if it cannot be added now.
    */
   admit(replica: ReplicaInfo): boolean;
+  /** Makes a voter that stops a learner; returns false if it remains one. */
+  release(identity: string): boolean;
   /**
    * Appends a command and resolves once the entry is applied. If leadership
    * ends first, it resolves as `unknown`. If this replica does not lead, or is
@@ -101,6 +103,7 @@
     advance: () => leadership?.advance(),
     applied: proposals.applied,
     admit: (replica) => leadership?.admit(replica) ?? false,
+    release: (identity) => leadership?.release(identity) ?? false,
     async propose(command) {
       if (!leadership || leadership.handingOver) {
         return err(notLeader());
--- a/src/control/methods.ts
+++ b/src/control/methods.ts
@@ -108,6 +108,15 @@
   reply: z.object({ accepted: z.boolean(), leader: z.string() }),
 });
 
+/**
+ * Asks the leader to make a voter that is about to stop a learner, if the quorum
+ * bears no less without its vote.
+ */
+export const releaseVoteMethod = defineMethod("release_vote", {
+  request: z.object({ identity: z.string() }),
+  reply: z.object({ accepted: z.boolean() }),
+});
+
 /** Asks the most advanced follower to start an election at once. */
 export const handoverMethod = defineMethod("handover", {
   request: z.object({ term: z.number() }),
--- a/src/control/peer_handlers.ts
+++ b/src/control/peer_handlers.ts
@@ -1,11 +1,16 @@
 /**
- * Answers the hello, join and handover requests of peers.
+ * Answers the hello, join, vote release and handover requests of peers.
  * @module
  */
 import type { DurableWatermarks } from "./durable_watermarks.ts";
 import type { Elections } from "./elections.ts";
 import { NO_MEMBERS } from "./log_store.ts";
-import { handoverMethod, helloMethod, joinMethod } from "./methods.ts";
+import {
+  handoverMethod,
+  helloMethod,
+  joinMethod,
+  releaseVoteMethod,
+} from "./methods.ts";
 import type { LocalLeadership } from "./local_leadership.ts";
 import type { ReplicaContext } from "./replica_context.ts";
 
@@ -39,6 +44,18 @@
     }));
 }
 
+/** Makes voters that stop learners while this replica leads. */
+export function handleVoteReleases(
+  { rpc }: ReplicaContext,
+  leadership: LocalLeadership,
+): void {
+  rpc.handle(
+    releaseVoteMethod,
+    ({ identity }) =>
+      Promise.resolve({ accepted: leadership.release(identity) }),
+  );
+}
+
 /**
  * Starts an election when the leader of this term asks for it; replies once the
  * election has ended.
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -13,9 +13,15 @@
 import { createTermState } from "./term_state.ts";
 import { createDurableWatermarks } from "./durable_watermarks.ts";
 import { createElections } from "./elections.ts";
-import { handleHandover, handleHellos, handleJoins } from "./peer_handlers.ts";
+import {
+  handleHandover,
+  handleHellos,
+  handleJoins,
+  handleVoteReleases,
+} from "./peer_handlers.ts";
 import { handleAppends, handleSnapshots } from "./follower_handlers.ts";
 import { askToJoin } from "./joining.ts";
+import { releaseVote } from "./vote_release.ts";
 import { createKnownPeers } from "./known_peers.ts";
 import { createLeaderContact } from "./leader_contact.ts";
 import { createLocalReplica, type Role } from "./local_replica.ts";
@@ -82,7 +88,8 @@
    */
   start(): Promise<void>;
   /**
-   * Hands leadership over if this replica leads, and stops. Waiting proposals
+   * Hands leadership over if this replica leads, gives up a vote that the quorum
+   * does not need, and stops. Waiting proposals
    * resolve as `unknown`, waiting reads as `not_leader`; calls in progress are
    * answered.
    */
@@ -197,6 +204,7 @@
       handleSnapshots(context);
       handleHellos(context, marks);
       handleJoins(context, leadership);
+      handleVoteReleases(context, leadership);
       handleHandover(context, elections);
       await rpc.listen(address);
       supervisor.start("replica.enter", enter);
@@ -204,6 +212,7 @@
     async stop() {
       await leadership.handOver();
       leadership.stepDown("stopping");
+      await releaseVote(context);
       local.stop();
       await supervisor.stop();
       await local.log?.idle();
--- a/src/control/replication.ts
+++ b/src/control/replication.ts
@@ -70,6 +70,8 @@
    * answer, the time at which replication to it started.
    */
   answeredAt(replica: ReplicaInfo): number;
+  /** Whether a replica has answered in this term. */
+  hasAnswered(replica: ReplicaInfo): boolean;
 }
 
 /** Fields that every reply of a peer has. */
@@ -282,5 +284,7 @@
     matchedBy: (replica) => progress.get(replica.identity)?.matched ?? 0,
     answeredAt: (replica) =>
       progress.get(replica.identity)?.answeredAt ?? startedAt,
+    hasAnswered: (replica) =>
+      progress.get(replica.identity)?.failedFirstCalls === Infinity,
   };
 }
--- a/src/control/startup_identity.ts
+++ b/src/control/startup_identity.ts
@@ -110,10 +110,24 @@
     return formed === undefined ? undefined : { formed, rolledBack };
   }
 
-  /** Calls peers once, and resolves with the replies of those that answer. */
-  async function callPeers(peers: string[]): Promise<HelloReply[]> {
-    const replies = await Promise.all(peers.map((peer) => callPeer(peer)));
-    return replies.filter((reply) => reply !== undefined);
+  /**
+   * Calls peers once, and resolves with the replies of those that answer. One
+   * that knows a cluster suffices: peers that are gone are not waited for then.
+   */
+  function callPeers(peers: string[]): Promise<HelloReply[]> {
+    const replies: HelloReply[] = [];
+    return new Promise((resolve) => {
+      async function call(peer: string): Promise<void> {
+        const reply = await callPeer(peer);
+        if (reply) {
+          replies.push(reply);
+        }
+        if (reply?.formed) {
+          resolve(replies);
+        }
+      }
+      void Promise.all(peers.map(call)).then(() => resolve(replies));
+    });
   }
 
   /**
--- a/tests/scenario/cluster.ts
+++ b/tests/scenario/cluster.ts
@@ -21,6 +21,8 @@
 const DEFAULT_GIVE_UP_MS = 20_000;
 const RETRY_INTERVAL_MS = 100;
 const ANSWER_TIMEOUT_MS = 3_000;
+/** Replicas that a new one is told of. */
+const SEEDS = 3;
 
 /** A VM with a control replica. */
 export interface ControlVm {
@@ -57,6 +59,11 @@
   kill(name: string): void;
   /** Performs a planned stop of a process. */
   stop(name: string): Promise<void>;
+  /**
+   * Starts a replica with an empty disk on a VM that is no founder, which is told
+   * the addresses of three replicas that run.
+   */
+  add(name: string): Promise<void>;
   leader(): ControlVm | undefined;
   /** Submits a change; resolves with `undefined` if the operator gives up. */
   propose(
@@ -83,6 +90,8 @@
       `control${index + 1}:1`,
     ]),
   );
+  /** Replicas that those which are no founders were told of. */
+  const seedsOf = new Map<string, Record<string, string>>();
   const leaders = new Map<number, Set<string>>();
   let changes = 0;
 
@@ -94,13 +103,17 @@
     }
   }
 
-  function createVm(name: string, disk: FakeDisk): ControlVm {
+  function createVm(
+    name: string,
+    disk: FakeDisk,
+  ): ControlVm {
+    const seeds = seedsOf.get(name) ?? founders;
     const freezer = createFreezer(timer);
     const supervisor = createSupervisor({
       timer: freezer.timer,
       report: (task, error) => report(`${name} ${task}: ${error}`),
     });
-    const address = founders[name];
+    const address = founders[name] ?? `${name}:1`;
     const vmRpc = rpc.from(address);
     const logger = {
       ...silentLogger,
@@ -110,7 +123,8 @@
     const control = createControl({
       vm: name,
       address,
-      founders,
+      founders: seeds,
+      mayFound: name in founders,
       disk,
       rpc: vmRpc,
       timer: freezer.timer,
@@ -182,6 +196,15 @@
       const index = vms.indexOf(vm);
       vms[index] = { ...vm, disk: vm.disk.reopen() };
     },
+    async add(name) {
+      const running = vms.filter(({ alive }) => alive).slice(-SEEDS);
+      seedsOf.set(
+        name,
+        Object.fromEntries(running.map((vm) => [vm.name, vm.address])),
+      );
+      vms.push(createVm(name, createFakeDisk()));
+      await start(name);
+    },
     async stop(name) {
       const vm = findVm(name);
       await vm.control.stop();
