--- a/tests/control/replacements_test.ts
+++ b/tests/control/replacements_test.ts
@@ -210,3 +210,61 @@
   t.equal((await harness.change())?.kind, "accepted");
   t.same(harness.findViolations(), []);
 });
+
+/** Faults of one VM, each followed by the time that a successor is given. */
+const FAULTS: Record<
+  string,
+  (harness: Harness, name: string, successor: string) => Promise<void>
+> = {
+  async "killed and replaced"({ cluster, timer }, name, successor) {
+    cluster.kill(name);
+    await timer.advance(GONE_MS);
+    await cluster.add(successor);
+  },
+  async "replaced as planned"({ cluster, timer }, name, successor) {
+    await cluster.add(successor);
+    await timer.advance(PLANNED_MS);
+    const stopped = cluster.stop(name);
+    await timer.advance(GONE_MS);
+    await stopped;
+  },
+  async "restarted on its disk"({ cluster, timer }, name) {
+    cluster.kill(name);
+    await timer.advance(GONE_MS);
+    await cluster.start(name);
+  },
+  async "stands still"({ cluster, timer }, name) {
+    const { freezer } = cluster.vm(name);
+    freezer.freeze();
+    await timer.advance(2 * GONE_MS);
+    freezer.thaw();
+  },
+  async "is cut off"(harness, name) {
+    harness.isolate(name, true);
+    await harness.timer.advance(2 * GONE_MS);
+    harness.healAll();
+  },
+};
+
+for (const members of [3, 5]) {
+  for (const seed of [61, 62, 63, 64, 65, 66, 67, 68]) {
+    test(`${members} replicas: one fault after the other, seed ${seed}`, async (t) => {
+      const harness = await startWithMembers(seed, members);
+      const { random, timer } = harness;
+      const trail: string[] = [];
+      for (let step = 0; step < 10; step++) {
+        const names = live(harness).map(({ name }) => name);
+        const name = names[random.integer(names.length)];
+        const kinds = Object.keys(FAULTS);
+        const kind = kinds[random.integer(kinds.length)];
+        trail.push(`${name} ${kind}`);
+        await FAULTS[kind](harness, name, `spare${step}`);
+        await timer.advance(CATCH_UP_MS);
+        t.equal((await harness.change())?.kind, "accepted", trail.join(", "));
+      }
+      await restartAll(harness);
+      t.equal((await harness.change())?.kind, "accepted", "after a restart");
+      t.same(harness.findViolations(), [], trail.join(", "));
+    });
+  }
+}
