A request on a connection for which there is no room is refused, not dropped

What callers saw: above 2,000 open connections of which none had been idle for a second, a new one was closed without a word, its request unread.

The connection is kept for its first request, which is answered 503 with the time to come back ("not run"), and then closed; also if none comes within a second. Of more than 64 such connections the oldest that has sent nothing is closed. mustardcross_connections_refused_total counts them.

--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -12,7 +12,7 @@
 import { createRateLimitedLog } from "../core/log_limit.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
-import type { Call, Reply } from "../ingress/call.ts";
+import { type Call, notRunReply, type Reply } from "../ingress/call.ts";
 import type { Node } from "../node/node.ts";
 import { estimateArrival, type EventLoopLag } from "../time/event_loop_lag.ts";
 import { sleep, type Timer } from "../time/timer.ts";
@@ -35,6 +35,8 @@
 export const HEALTH_PATH = "/_mustardcross/health";
 const MAX_MALFORMED_LOG_LINES_PER_S = 5;
 const MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
+/** Time after which a caller without a connection is to come back. */
+const NO_ROOM_RETRY_AFTER_MS = 1_000;
 const BODILESS_STATUSES = new Set([204, 304]);
 
 /** The HTTP server of a node for callers. */
@@ -220,6 +222,24 @@
     }
   }
 
+  /** Refuses a request on a connection for which there is no room. */
+  function refuse(request: IncomingMessage, response: ServerResponse): void {
+    const reply = notRunReply("overloaded", {
+      attempts: 0,
+      retryAfterMs: NO_ROOM_RETRY_AFTER_MS,
+    });
+    const { requestId = "" } = dialect.read(
+      parseRawHeaders(request.rawHeaders),
+    );
+    const { status, headers } = dialect.head(reply, requestId);
+    const body = reply.body as Uint8Array;
+    headers.forEach(([name, value]) => response.appendHeader(name, value));
+    response.setHeader("content-length", body.length);
+    response.writeHead(status);
+    response.end(body);
+    node.metrics.count("connections_refused");
+  }
+
   function sendHealth(response: ServerResponse): void {
     const ready = node.ready && !stopping;
     sendText(response, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
@@ -244,6 +264,7 @@
     });
   }, {
     onMalformed: noteMalformed,
+    refuse,
     clients,
     maxConnections: clients.limits.max_connections,
   });
--- a/src/http/client_limits.ts
+++ b/src/http/client_limits.ts
@@ -32,7 +32,8 @@
   max_connections: z.number().int().min(1).default(2_000)
     .describe(
       "Open connections from callers, beyond which an idle one is closed for " +
-        "a new one; the other ports of a process have at most 256",
+        "a new one, or the first request of the new one is refused; the other " +
+        "ports of a process have at most 256",
     ),
 });
 
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -30,6 +30,10 @@
   readonly pending: number;
   /** Whether the body of the latest request is being received. */
   readonly receiving: boolean;
+  /** Whether the server has no room for it: its first request is refused. */
+  readonly surplus: boolean;
+  /** Called when the server has no room for a connection that it has accepted. */
+  markSurplus(): void;
   /** Bytes of responses that the client's system has not taken yet. */
   readonly unsentBytes: number;
   /** Whether what the client sends from now on is of no use. */
@@ -90,6 +94,7 @@
   let firstRequestDelayMs = 0;
   let latest: Exchange | undefined;
   let refusing = false;
+  let surplus = false;
   let inputFailed = false;
   let notifyPending: (change: number) => void = () => {};
 
@@ -132,6 +137,12 @@
     get receiving() {
       return isReceiving();
     },
+    get surplus() {
+      return surplus;
+    },
+    markSurplus() {
+      surplus = true;
+    },
     get unsentBytes() {
       let bytes = socket.writableLength;
       let isFirst = true;
--- a/src/http/request_intake.ts
+++ b/src/http/request_intake.ts
@@ -37,6 +37,14 @@
 /** Time without input after which a connection may be closed for a new one. */
 const MIN_IDLE_MS = 1_000;
 
+/**
+ * Connections beyond the limit that are open until their first request is
+ * refused.
+ */
+const MAX_SURPLUS_CONNECTIONS = 64;
+/** Time that such a connection has for its first request. */
+const SURPLUS_REQUEST_MS = 1_000;
+
 /** A socket, with the runtime's mark that it waits until answers are sent. */
 type HttpSocket = Socket & { _paused?: boolean };
 
@@ -257,6 +265,29 @@
     return found;
   }
 
+  /**
+   * Makes room for a new connection. With no idle one to close, the first request
+   * of the new one is refused, so that its client learns when to come back.
+   */
+  function makeRoom(connection: Connection): void {
+    const replaceable = findReplaceable();
+    if (replaceable) {
+      replaceable.connection.socket.destroy();
+      return;
+    }
+    connection.markSurplus();
+    setTimeout(() => {
+      if (connection.unused) {
+        connection.socket.destroy();
+      }
+    }, SURPLUS_REQUEST_MS).unref();
+    const surplus = [...connectionsOfServer(server).open]
+      .filter((one) => one.surplus);
+    if (surplus.length > MAX_SURPLUS_CONNECTIONS) {
+      (surplus.find((one) => one.unused) ?? connection).socket.destroy();
+    }
+  }
+
   server.on("connection", (socket: Socket) => {
     const connection = connectionOfSocket(socket);
     const [parse] = socket.listeners("data") as ((part: Buffer) => void)[];
@@ -264,8 +295,7 @@
       return;
     }
     if (connectionsOfServer(server).open.size > maxConnections) {
-      const replaceable = findReplaceable();
-      (replaceable?.connection.socket ?? socket).destroy();
+      makeRoom(connection);
     }
     // The parser no longer reads from the connection itself.
     socket.removeListener("data", parse);
--- a/src/http/request_intake_test.ts
+++ b/src/http/request_intake_test.ts
@@ -234,6 +234,51 @@
   await held.close();
 });
 
+test("a request on a connection for which there is no room is refused", async (t) => {
+  const held = await startHolding(1);
+  const busy = held.connect();
+  busy.socket.write(get("/busy"));
+  await until(() => held.responses.has("/busy"));
+  for (
+    const [name, text] of Object.entries({
+      "a request": get("/refused"),
+      "several requests": gets(3),
+      "a request with a body": "POST /refused HTTP/1.1\r\nhost: a\r\n" +
+        "content-length: 100000\r\n\r\nthe first bytes",
+    })
+  ) {
+    const refused = held.connect();
+    refused.socket.write(text);
+    await refused.closed;
+    t.match(refused.received(), /^HTTP\/1.1 503 /, name);
+    t.match(refused.received(), /retry-after: 1\r\n/i, name);
+    t.equal(refused.received().split("HTTP/1.1").length, 2, "one response");
+  }
+  t.same([...held.responses.keys()], ["/busy"]);
+  held.responses.get("/busy")!.end("<busy>");
+  await until(() => busy.received().includes("<busy>"));
+  await held.close();
+});
+
+test("connections for which there is no room are bounded", async (t) => {
+  const held = await startHolding(1);
+  const busy = held.connect();
+  busy.socket.write(get("/busy"));
+  await until(() => held.responses.has("/busy"));
+  let closed = 0;
+  const waiting = Array.from({ length: 70 }, () => held.connect());
+  waiting.forEach((one) => void one.closed.then(() => closed++));
+  await until(() => closed >= 6);
+  const last = held.connect();
+  last.socket.write(get("/last"));
+  await last.closed;
+  t.match(last.received(), /^HTTP\/1.1 503 /, "a new one is told so");
+  await until(() => closed === waiting.length);
+  held.responses.get("/busy")!.end("<busy>");
+  await until(() => busy.received().includes("<busy>"));
+  await held.close();
+});
+
 test("only clients that hold much and read nothing are closed", async (t) => {
   const timer = createFakeTimer();
   const limits = clientLimitsSchema.parse({ max_buffered_bytes: 100 });
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -43,15 +43,46 @@
   /** What the servers of the process may hold; one of its own by default. */
   clients?: ClientBudget;
   /**
-   * Open connections beyond which an idle one is closed for a new one; 256 by
-   * default.
+   * Open connections beyond which an idle one is closed for a new one, or the
+   * first request of the new one is refused; 256 by default.
    */
   maxConnections?: number;
+  /** Refuses a request for whose connection there is no room; 503 by default. */
+  refuse?: HttpHandler;
 }
 
 /** Open connections of a server that is not for callers. */
 const DEFAULT_MAX_CONNECTIONS = 256;
 
+/** Time after which a client without a connection is to come back, in seconds. */
+const NO_ROOM_RETRY_AFTER_S = 1;
+
+function refuseWithoutRoom(
+  _request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.setHeader("retry-after", NO_ROOM_RETRY_AFTER_S);
+  sendText(response, 503, "not run: too many connections\n");
+}
+
+/**
+ * Returns a handler that refuses requests on connections for which there is no
+ * room, and closes these after the response.
+ */
+function refuseSurplus(handler: HttpHandler, refuse: HttpHandler): HttpHandler {
+  return (request, response) => {
+    const connection = connectionOfSocket(request.socket);
+    if (!connection?.surplus) {
+      handler(request, response);
+      return;
+    }
+    connection.refuseRequests();
+    connection.afterResponses(() => connection.socket.destroySoon());
+    response.setHeader("connection", "close");
+    refuse(request, response);
+  };
+}
+
 /** Creates an HTTP server that does not listen yet. */
 export function createHttpServer(
   handler: HttpHandler,
@@ -61,6 +92,7 @@
     onMalformed = () => {},
     clients = createClientBudget(),
     maxConnections = DEFAULT_MAX_CONNECTIONS,
+    refuse = refuseWithoutRoom,
   } = options;
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -71,7 +103,7 @@
     insecureHTTPParser: false,
     noDelay: true,
   });
-  trackConnections(server, handler);
+  trackConnections(server, refuseSurplus(handler, refuse));
   handleInputErrors(server, onMalformed);
   limitIntake(server, { budget: clients, maxConnections });
   return server;
--- a/src/settings/site.ts
+++ b/src/settings/site.ts
@@ -113,7 +113,7 @@
   key: z.enum(["none", "optional", "required"]).default("none")
     .describe("Whether callers may or must send an Idempotency-Key header"),
   deadline_ms: milliseconds.default(2_000)
-    .describe("Request timeout"),
+    .describe("Request timeout, also for an answer that has begun"),
   objective_ms: milliseconds.optional()
     .describe("Target latency"),
   rank: count.default(0)
