--- a/src/control/membership_changes.ts
+++ b/src/control/membership_changes.ts
@@ -135,13 +135,15 @@
 }
 
 /**
- * Promotes a learner that has caught up to a voter. If it takes the place of a
- * voter, this step takes that vote away, and a later one promotes the learner. That is
- * the voter on its VM or address, whose disk is lost, and of an odd number of
- * voters the one that has been silent for longest: beside a voter that is gone,
- * one more makes the quorum larger and bears no further loss. The number of
- * voters is even after that step, so a learner takes the place of one silent
- * voter only. While it is open whether a voter is silent, the learner waits.
+ * Promotes a learner that has caught up to a voter. Where it takes the place of
+ * another voter, this step removes or demotes that one, and a later step promotes
+ * the learner. Its place is that of
+ * - the voter on its VM or address, whose disk is lost, or else
+ * - of an odd number of voters, the one that has been silent for longest. Beside a
+ *   voter that is gone, one more makes the quorum larger and bears no further
+ *   loss. The number is even then, so it takes the place of one voter only.
+ *
+ * While it is open whether a voter is silent, the learner waits.
  */
 export function withPromotedLearner(
   membership: Membership,
--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -26,6 +26,7 @@
   closeHttp,
   createHttpServer,
   listenHttp,
+  NO_ROOM_RETRY_AFTER_MS,
   openConnections,
   sendText,
 } from "./server.ts";
@@ -35,8 +36,6 @@
 export const HEALTH_PATH = "/_mustardcross/health";
 const MAX_MALFORMED_LOG_LINES_PER_S = 5;
 const MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
-/** Time after which a caller without a connection is to come back. */
-const NO_ROOM_RETRY_AFTER_MS = 1_000;
 const BODILESS_STATUSES = new Set([204, 304]);
 
 /** The HTTP server of a node for callers. */
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -54,14 +54,15 @@
 /** Open connections of a server that is not for callers. */
 const DEFAULT_MAX_CONNECTIONS = 256;
 
-/** Time after which a client without a connection is to come back, in seconds. */
-const NO_ROOM_RETRY_AFTER_S = 1;
+/** Time after which a client is to come back for whose connection there was no room. */
+export const NO_ROOM_RETRY_AFTER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
 function refuseWithoutRoom(
   _request: IncomingMessage,
   response: ServerResponse,
 ): void {
-  response.setHeader("retry-after", NO_ROOM_RETRY_AFTER_S);
+  response.setHeader("retry-after", NO_ROOM_RETRY_AFTER_MS / MS_PER_SECOND);
   sendText(response, 503, "not run: too many connections\n");
 }
 
