--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -31,6 +31,7 @@
   });
   metrics.count("left_unread", 0);
   metrics.count("malformed_requests", 0);
+  metrics.count("connections_refused", 0);
   metrics.count("throttled", 0);
   metrics.gauge("view_version", () => directory.version);
   metrics.gauge(
