--- a/src/guard/run.ts
+++ b/src/guard/run.ts
@@ -13,7 +13,6 @@
   Load,
   Refused,
 } from "../network/frames.ts";
-import { MAX_TIMEOUT_MS } from "../settings/site.ts";
 import type { Timer } from "../time/timer.ts";
 import { discardBody, readPrefix } from "./answer_body.ts";
 import {
@@ -39,13 +38,16 @@
  * backend server can enforce the deadline itself and answer.
  */
 const REPEATABLE_GRACE_MS = 25;
+/**
+ * Time past its deadline for which the rest of a streamed answer may take, so
+ * that its sender ends the wait first.
+ */
+const STREAM_GRACE_MS = 200;
 /**
  * Longest wait for the body of a refusal; the refusal is sent on only after it.
  */
 const REFUSAL_BODY_TIMEOUT_MS = 50;
 const SHED_STATUS = 503;
-const FIRST_SUCCESS = 200;
-const FIRST_REDIRECT = 300;
 const FIRST_SERVER_ERROR = 500;
 
 /** The result of an attempt. */
@@ -147,14 +149,6 @@
     }
   }
 
-  /**
-   * Returns how long the rest of an answer's body may take, in milliseconds.
-   */
-  function bodyTimeoutMs(status: number): number {
-    const success = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
-    return success ? MAX_TIMEOUT_MS : timeLeftMs() + REPEATABLE_GRACE_MS;
-  }
-
   /** Returns the time until the deadline, in milliseconds. */
   function timeLeftMs(): number {
     return Math.max(0, frame.timeLeftMs - (timer.now() - startedAt));
@@ -289,9 +283,9 @@
     unsubscribeClose();
     unsubscribeClose = channelClosed.onCancel(canceller.cancel);
     headSent = true;
-    // A successful stream may outlast the deadline; an error response may not.
+    // A stream is neither cached nor awaited by anyone after its deadline.
     expiryTimer.cancel();
-    expiryTimer = timer.after(bodyTimeoutMs(answer.status), expire);
+    expiryTimer = timer.after(timeLeftMs() + STREAM_GRACE_MS, expire);
     await channel.send(end);
     await streamRest(rest);
     reportCompletion(answer.status < FIRST_SERVER_ERROR);
--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -183,6 +183,8 @@
     if (reply.body instanceof Uint8Array) {
       response.end(reply.body);
     } else {
+      // A caller that reads slowly would learn of the cut only once it reads on.
+      reply.cut?.onCancel(() => abortResponse(response));
       await writeStream(response, reply.body);
     }
     if (!request.complete && !(call.body instanceof Uint8Array)) {
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -198,6 +198,11 @@
   });
 }
 
+/** Whether the client takes the close of the connection for the end of a body. */
+function endsWithConnection(response: ServerResponse): boolean {
+  return response.req.httpVersion === "1.0" && response.headersSent;
+}
+
 /**
  * Closes the connection of a response that cannot be completed, so that a part
  * of it does not look whole. The responses before it are sent first.
@@ -210,7 +215,13 @@
     return;
   }
   connection.refuseRequests();
-  connection.afterResponses(() => socket.destroy(), response);
+  connection.afterResponses(() => {
+    if (endsWithConnection(response)) {
+      socket.resetAndDestroy();
+    } else {
+      socket.destroy();
+    }
+  }, response);
 }
 
 /**
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -45,11 +45,12 @@
   end: AnswerEnd,
   attempts: number,
 ): Reply {
-  const { answer, body } = end.received;
+  const { answer, body, cut } = end.received;
   return {
     status: answer.status,
     headers: answer.headers,
     body,
+    cut,
     outcome: "ran",
     reason: "",
     attempts,
@@ -102,7 +103,8 @@
     signal,
     deadlineAt,
   });
-  if (end.kind === "lost" && end.sent && !settings.repeatable) {
+  const hasTime = timer.now() < deadlineAt;
+  if (end.kind === "lost" && end.sent && !settings.repeatable && hasTime) {
     const state = await exchanger.fence(target);
     recordFence(parts, { routed, member, state });
     if (state === "fenced") {
--- a/src/ingress/call.ts
+++ b/src/ingress/call.ts
@@ -34,6 +34,8 @@
   headers: HeaderList;
   /** Complete body, or a stream that throws if it is cut. */
   body: Uint8Array | AsyncIterable<Uint8Array>;
+  /** Cancelled when the rest of a stream will not come. */
+  cut?: Cancellation;
   /** Whether the request ran, as far as that is certain. */
   outcome: Outcome;
   /** Reason why no backend server answered; empty if one did. */
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -73,7 +73,11 @@
 export function createExchanger(options: ExchangerOptions): Exchanger {
   const { pool } = options;
   const reachability = createReachability(pool);
-  const endReader = createEndReader({ pool, reachability });
+  const endReader = createEndReader({
+    pool,
+    reachability,
+    timer: options.timer,
+  });
   const recovery = createAttemptRecovery({
     ...options,
     reachability,
--- a/src/ingress/exchange_end.ts
+++ b/src/ingress/exchange_end.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the end of an attempt, and the stream of its answer, from a channel.
+ * Reads the end of an attempt from a channel, which may be a stream.
  * @module
  */
 import type { Cancellation } from "../core/cancellation.ts";
@@ -12,6 +12,8 @@
   Frame,
   Refused,
 } from "../network/frames.ts";
+import type { Timer } from "../time/timer.ts";
+import { createAnswerStream } from "./answer_stream.ts";
 import { type BodyUpload, startUpload } from "./body_upload.ts";
 import type { FrameReader } from "./frame_reader.ts";
 import type { PeerPool } from "./peer_pool.ts";
@@ -25,6 +27,8 @@
   body: Uint8Array | AsyncIterable<Uint8Array>;
   /** Closes the stream of an answer that is not needed, whether read or not. */
   close?: () => void;
+  /** Cancelled when the rest of a stream will not come. */
+  cut?: Cancellation;
 }
 
 /** End of an exchange that did not receive the end of its attempt. */
@@ -78,39 +82,18 @@
   read(frame: Frame, context: ExchangeContext): ExchangeEnd | undefined;
 }
 
-/**
- * Number of silences after which a stream counts as cut although its guard is
- * reachable.
- */
-const MAX_STREAM_SILENCES = 3;
-
 function isSameAttempt(left: AttemptId, right: AttemptId): boolean {
   return left.source === right.source && left.order === right.order;
 }
 
 /** Creates a reader that returns channels to a pool after their exchange. */
 export function createEndReader(
-  { pool, reachability }: { pool: PeerPool; reachability: Reachability },
+  { pool, reachability, timer }: {
+    pool: PeerPool;
+    reachability: Reachability;
+    timer: Timer;
+  },
 ): EndReader {
-  /** Receives the next frame of a stream, and tolerates a few silences. */
-  async function receiveStreamFrame(
-    channel: Channel,
-    reader: FrameReader,
-  ): Promise<Frame> {
-    for (let silences = 0; silences < MAX_STREAM_SILENCES; silences++) {
-      const frame = await reader.next(Infinity);
-      if (frame.kind !== "silence") {
-        return frame;
-      }
-      if (!await reachability.check(channel.peer)) {
-        break;
-      }
-    }
-    throw new StepError("exchange.stream", "the connection is silent", {
-      peer: channel.peer,
-    });
-  }
-
   /**
    * Gives the channel of an exchange back after the end of its attempt. With a
    * part of the request's body still to be sent, it is closed: the next exchange
@@ -124,67 +107,6 @@
     }
   }
 
-  async function* readStream(
-    context: ExchangeContext,
-    { first, onEnd }: { first: Uint8Array; onEnd: () => void },
-  ): AsyncGenerator<Uint8Array> {
-    const { channel, reader } = context;
-    let complete = false;
-    try {
-      yield first;
-      while (true) {
-        const frame = await receiveStreamFrame(channel, reader);
-        if (frame.kind === "slow") {
-          continue;
-        }
-        if (frame.kind === "end") {
-          complete = true;
-          return;
-        }
-        if (frame.kind !== "data") {
-          throw new StepError("exchange.stream", `got ${frame.kind}`, {
-            peer: channel.peer,
-          });
-        }
-        yield frame.bytes;
-      }
-    } finally {
-      onEnd();
-      if (complete) {
-        giveBack(context);
-      } else {
-        channel.close();
-      }
-    }
-  }
-
-  /**
-   * Returns the stream of an answer. Its channel is closed when the caller
-   * leaves, also while no data comes or before the stream is read.
-   */
-  function openStream(
-    context: ExchangeContext,
-    first: Uint8Array,
-  ): Required<Pick<ReceivedAnswer, "body" | "close">> {
-    const { channel, request } = context;
-    let ended = false;
-    function close(): void {
-      // After the end of the stream, the channel may serve another exchange.
-      if (!ended) {
-        channel.close();
-      }
-    }
-    const release = request.signal.onCancel(close);
-    const body = readStream(context, {
-      first,
-      onEnd() {
-        ended = true;
-        release();
-      },
-    });
-    return { body, close };
-  }
-
   function readEnd(
     frame: Frame,
     context: ExchangeContext,
@@ -213,7 +135,16 @@
       giveBack(context);
       return { kind: "answer", answer: frame, body: frame.body };
     }
-    const stream = openStream(context, frame.body);
+    const stream = createAnswerStream({
+      channel,
+      reader: context.reader,
+      timer,
+      reachability,
+      first: frame.body,
+      deadlineAt: request.deadlineAt,
+      signal: request.signal,
+      onComplete: () => giveBack(context),
+    });
     return { kind: "answer", answer: frame, ...stream };
   }
 
--- a/src/ingress/keyed_calls.ts
+++ b/src/ingress/keyed_calls.ts
@@ -130,11 +130,12 @@
       const end = await exchanger.resume(target);
       if (end.kind === "answer") {
         const { server } = held;
-        const { answer, body } = end;
+        const { answer, body, cut } = end;
         return {
           status: answer.status,
           headers: answer.headers,
           body,
+          cut,
           outcome: "ran",
           reason: "",
           attempts: progress.attempts,
