--- a/src/process.ts
+++ b/src/process.ts
@@ -23,6 +23,7 @@
   logEventLoopDelays,
   registerProcessGauges,
 } from "./metrics/event_loop.ts";
+import { watchBusySpells } from "./metrics/busy_spells.ts";
 import { createMetrics } from "./metrics/metrics.ts";
 import { createTcpNetwork } from "./network/tcp.ts";
 import { createNode, type Node } from "./node/node.ts";
@@ -113,7 +114,7 @@
 /** Serves the metrics of a control replica. */
 async function startControlMetrics(
   address: string | undefined,
-  { control, context: { lag, clients } }: {
+  { control, context }: {
     control: Control;
     context: ProcessContext;
   },
@@ -121,9 +122,11 @@
   if (!address) {
     return NO_ATTACHMENT;
   }
+  const { lag, clients } = context;
   const metrics = createMetrics();
   registerControlGauges(metrics, control);
   registerProcessGauges(metrics, lag);
+  watchBusySpells({ ...context, metrics });
   const api = createMetricsApi(metrics, clients);
   await api.listen(address);
   return api;
@@ -181,6 +184,7 @@
   });
   await node.start();
   registerProcessGauges(node.metrics, context.lag);
+  watchBusySpells({ ...context, metrics: node.metrics });
   const callerServer = createCallerServer({
     node,
     dialect: platform.callerDialect,
