A stopping control replica does not spin in a read that waits for it

Class: a loop around a sleep whose signal is aborted, which returns at once; a chain of settled promises, behind which the process runs nothing else. What was seen: a read that is confirmed by the leader, on a replica that is behind and stops: 1,001 looks at the clock in the test's bound of 1,001, where the process would stay in it for up to 700 ms of its grace time. Found by reading each loop; on core machines only, so it is not the report of a node.

--- a/src/control/leader_calls.ts
+++ b/src/control/leader_calls.ts
@@ -138,7 +138,7 @@
       return false;
     }
     const deadline = timer.now() + CONFIRM_TIMEOUT_MS;
-    while (timer.now() < deadline) {
+    while (!signal.aborted && timer.now() < deadline) {
       if (replica.status().commitIndex >= reply.value) {
         return true;
       }
--- a/src/control/leader_calls_test.ts
+++ b/src/control/leader_calls_test.ts
@@ -135,3 +135,19 @@
   await timer.advance(120);
   t.equal(await vain, false, "not for longer than a node waits");
 });
+
+test("a read that waits for this replica ends when the replica stops, without a spin", async (t) => {
+  const { timer, stopping, calls } = await build();
+  const read = calls.confirmRead();
+  await timer.advance(100);
+  stopping.abort();
+  let turns = 0;
+  const now = timer.now;
+  timer.now = () => {
+    turns++;
+    // A loop that does not wait would never let this test go on.
+    return turns > 1_000 ? Infinity : now();
+  };
+  t.equal(await read, false);
+  t.ok(turns < 100, `${turns} looks at the clock`);
+});
