An output that takes no log lines is not written to without a pause

Class: a retry without a pause. With its standard output a pipe or socket that no longer blocks (the command line library opens it as a stream) and that nobody reads, the process and a thread of its pool wrote again without end.

--- a/src/core/log_sink.ts
+++ b/src/core/log_sink.ts
@@ -25,6 +25,8 @@
 const DEFAULT_CAPACITY_BYTES = 256 * 1024;
 const LINE_END_BYTES = 1;
 const STANDARD_OUTPUT = 1;
+/** Pause before an output that took nothing is written to again. */
+const FULL_OUTPUT_PAUSE_MS = 20;
 
 /** Creates a sink that writes with `options.write`. */
 export function createLogSink(options: LogSinkOptions): LogSink {
@@ -81,22 +83,35 @@
   };
 }
 
-/** Writes all bytes to a file descriptor on a thread of Node's thread pool. */
-function writeAll(descriptor: number, bytes: Buffer): Promise<void> {
+/**
+ * Writes to a file descriptor on a thread of Node's thread pool; resolves with the
+ * number of bytes that were taken, 0 if the output is full. A pipe blocks no more
+ * once any part of the process has made it a stream.
+ */
+function writeSome(descriptor: number, bytes: Buffer): Promise<number> {
   return new Promise((resolve, reject) => {
     writeFile(descriptor, bytes, (error, written) => {
       if (error && error.code !== "EAGAIN") {
         reject(error);
-      } else if (!error && written === bytes.length) {
-        resolve();
       } else {
-        writeAll(descriptor, bytes.subarray(error ? 0 : written))
-          .then(resolve, reject);
+        resolve(error ? 0 : written);
       }
     });
   });
 }
 
+/** Writes all bytes; pauses while the output takes none. */
+async function writeAll(descriptor: number, bytes: Buffer): Promise<void> {
+  let rest = bytes;
+  while (rest.length > 0) {
+    const written = await writeSome(descriptor, rest);
+    rest = rest.subarray(written);
+    if (written === 0) {
+      await new Promise((resolve) => setTimeout(resolve, FULL_OUTPUT_PAUSE_MS));
+    }
+  }
+}
+
 /** Creates a sink that writes to standard output. */
 export function createStandardOutputSink(): LogSink {
   return createLogSink({ write: (bytes) => writeAll(STANDARD_OUTPUT, bytes) });
