A path of thousands of slashes costs no more than an ordinary one

Class: work that grows with the square of its input. No prefix is longer than the longest, so none is looked up behind it.

--- a/src/node/prefix_table.ts
+++ b/src/node/prefix_table.ts
@@ -14,6 +14,13 @@
   find(host: string, path: string): NamedPrefixRoute | undefined;
 }
 
+/** The routes of one host. */
+interface HostRoutes {
+  prefixes: Map<string, NamedPrefixRoute>;
+  /** Length of the longest prefix. */
+  longest: number;
+}
+
 /** Returns a host in lower case and without its port. */
 function normalizeHost(host: string): string {
   return host.replace(/:\d+$/, "").toLowerCase();
@@ -23,20 +30,23 @@
 export function createPrefixTable(
   routes: readonly NamedPrefixRoute[],
 ): PrefixTable {
-  const hosts = new Map<string, Map<string, NamedPrefixRoute>>();
+  const hosts = new Map<string, HostRoutes>();
   for (const route of routes) {
-    const prefixes = hosts.get(route.host) ?? new Map();
-    prefixes.set(route.prefix, route);
-    hosts.set(route.host, prefixes);
+    const found = hosts.get(route.host) ?? { prefixes: new Map(), longest: 0 };
+    found.prefixes.set(route.prefix, route);
+    found.longest = Math.max(found.longest, route.prefix.length);
+    hosts.set(route.host, found);
   }
   return {
     find(host, path) {
-      const prefixes = hosts.get(normalizeHost(host));
-      if (!prefixes) {
+      const found = hosts.get(normalizeHost(host));
+      if (!found) {
         return undefined;
       }
-      // Every prefix ends with a slash, so only those positions are tried.
-      for (let end = path.lastIndexOf("/"); end >= 0;) {
+      const { prefixes, longest } = found;
+      // Every prefix ends with a slash, so only those positions are tried, and
+      // none behind the longest prefix: a client may send thousands of slashes.
+      for (let end = path.lastIndexOf("/", longest - 1); end >= 0;) {
         const route = prefixes.get(path.slice(0, end + 1));
         if (route) {
           return route;
--- a/src/node/prefix_table_test.ts
+++ b/src/node/prefix_table_test.ts
@@ -71,3 +71,20 @@
   t.ok(share > 0.4 && share < 0.6, String(share));
   t.end();
 });
+
+test("a path of thousands of slashes is not looked up thousands of times", (t) => {
+  const table = createTable(["a.example", "/one/two/"]);
+  const lookUp = Map.prototype.get;
+  let lookups = 0;
+  t.intercept(Map.prototype, "get", {
+    value(this: Map<unknown, unknown>, key: unknown) {
+      lookups++;
+      return lookUp.call(this, key);
+    },
+  });
+  const slashes = "/".repeat(15_000);
+  t.ok(table.find("a.example", "/one/two/" + slashes));
+  t.equal(table.find("a.example", slashes), undefined);
+  t.ok(lookups < 50, `${lookups} lookups`);
+  t.end();
+});
