--- a/src/network/tcp.ts
+++ b/src/network/tcp.ts
@@ -14,13 +14,11 @@
   type Network,
   splitAddress,
 } from "./channel.ts";
-import { decodeFrame, encodeFrame, LENGTH_BYTES } from "./frame_codec.ts";
+import { createFrameAssembler } from "./frame_assembler.ts";
+import { encodeFrame } from "./frame_codec.ts";
 import { type EventLoopLag, noLag } from "../time/event_loop_lag.ts";
 import { createInbox } from "./inbox.ts";
 
-/** Largest frame accepted, in bytes. */
-export const MAX_FRAME_BYTES = 1 << 20;
-
 /** Creates a channel on a connected socket. */
 function createTcpChannel(
   socket: Socket,
@@ -30,13 +28,13 @@
   let closed = false;
   let closeMayBePending = false;
   let maxUnreadMs = 0;
-  let unparsed: Buffer = Buffer.alloc(0);
   let waitingSenders: (() => void)[] = [];
   const inbox = createInbox(() => {
     if (!inbox.full) {
       socket.resume();
     }
   });
+  const assembler = createFrameAssembler({ peer, onFrame: inbox.push });
 
   /** Wakes all senders: body parts and keepalives may wait at the same time. */
   function wakeSenders(): void {
@@ -56,36 +54,13 @@
     closeSignal.cancel();
   }
 
-  function parse(): void {
-    let offset = 0;
-    while (unparsed.length - offset >= LENGTH_BYTES) {
-      const length = unparsed.readUInt32BE(offset);
-      if (length > MAX_FRAME_BYTES) {
-        throw new StepError(
-          "frame.length",
-          `frame of ${length} bytes exceeds the limit`,
-          { peer },
-        );
-      }
-      const end = offset + LENGTH_BYTES + length;
-      if (unparsed.length < end) {
-        break;
-      }
-      const frame = decodeFrame(unparsed.subarray(offset + LENGTH_BYTES, end));
-      inbox.push(frame, length);
-      offset = end;
-    }
-    unparsed = unparsed.subarray(offset);
-  }
-
   socket.setNoDelay(true);
   socket.on("data", (chunk: Buffer) => {
     processBufferCollector.note(chunk.length);
     closeMayBePending = lag.lagging;
     maxUnreadMs = lag.maxUnreadMs;
-    unparsed = unparsed.length === 0 ? chunk : Buffer.concat([unparsed, chunk]);
     try {
-      parse();
+      assembler.push(chunk);
     } catch {
       close();
       return;
--- a/src/network/tcp_test.ts
+++ b/src/network/tcp_test.ts
@@ -1,11 +1,14 @@
+import { connect } from "node:net";
 import { test } from "tap";
 import type { Channel } from "./channel.ts";
 import type { Frame } from "./frames.ts";
+import { encodeFrame } from "./frame_codec.ts";
 import { tcpNetwork } from "./tcp.ts";
 
 const HOST = "127.0.0.1";
 const CONNECT_TIMEOUT_MS = 1_000;
 const LARGE_FRAME: Frame = { kind: "data", bytes: Buffer.alloc(512 * 1024) };
+const SMALL: Frame = { kind: "ping" };
 /** More frames than both endpoints and the kernel can buffer. */
 const FRAME_COUNT = 64;
 
@@ -51,3 +54,32 @@
   t.equal(results.at(-1)?.status, "rejected");
   server.close();
 });
+
+test("a frame that comes in small parts is not copied for each of them", async (t) => {
+  const joined = t.capture(Buffer, "concat", Buffer.concat);
+  let accepted = (_channel: Channel): void => {};
+  const accepting = new Promise<Channel>((resolve) => {
+    accepted = resolve;
+  });
+  const listener = await tcpNetwork.listen(`${HOST}:0`, (one) => accepted(one));
+  const socket = connect(Number(listener.address.split(":")[1]), HOST);
+  socket.setNoDelay(true);
+  const channel = await accepting;
+  t.teardown(() => {
+    channel.close();
+    socket.destroy();
+  });
+  const frames = Buffer.concat([encodeFrame(LARGE_FRAME), encodeFrame(SMALL)]);
+  joined();
+  for (let at = 0; at < frames.length; at += 1_024) {
+    socket.write(frames.subarray(at, at + 1_024));
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const received = await channel.receive();
+  t.equal(received?.kind === "data" && received.bytes.length, 512 * 1024);
+  t.same(await channel.receive(), SMALL);
+  const copied = joined().flatMap(({ args: [parts] }) => parts)
+    .reduce((sum, part) => sum + part.length, 0);
+  t.ok(copied < 4 * frames.length, `${copied} bytes were copied`);
+  await listener.close();
+});
