--- a/src/core/headers.ts
+++ b/src/core/headers.ts
@@ -59,11 +59,13 @@
 }
 
 /** Returns the names of the headers that a `connection` header lists. */
-function parseConnectionHeader(connection: string): readonly string[] {
-  return connection.split(",").map((name) => name.trim().toLowerCase());
+function parseConnectionHeader(connection: string): ReadonlySet<string> {
+  return new Set(
+    connection.split(",").map((name) => name.trim().toLowerCase()),
+  );
 }
 
-const NO_NAMES: readonly string[] = [];
+const NO_NAMES: ReadonlySet<string> = new Set();
 
 /** Removes hop-by-hop headers and those that the `connection` header lists. */
 export function removeHopByHopHeaders(headers: HeaderList): HeaderList {
@@ -73,7 +75,7 @@
     : parseConnectionHeader(connection);
   const kept: HeaderList = [];
   for (const header of headers) {
-    if (!HOP_BY_HOP_HEADERS.has(header[0]) && !listed.includes(header[0])) {
+    if (!HOP_BY_HOP_HEADERS.has(header[0]) && !listed.has(header[0])) {
       kept.push(header);
     }
   }
