Calls that are refused or cut off are logged at a limited rate

Each refused call of a server and each request whose client left in its body wrote a line, with a path of up to 16 KB, so clients that are not under control could have a process write lines without end. No test: the rate limit itself has one.

--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -35,6 +35,8 @@
 /** Path of a node's readiness check. */
 export const HEALTH_PATH = "/_mustardcross/health";
 const MAX_MALFORMED_LOG_LINES_PER_S = 5;
+/** Clients that leave in the middle of a body may be many. */
+const MAX_FAILED_LOG_LINES_PER_S = 20;
 const MAX_DISCARDED_BYTES = 16 * 1024 * 1024;
 const BODILESS_STATUSES = new Set([204, 304]);
 
@@ -76,6 +78,11 @@
     logger,
     perSecond: MAX_MALFORMED_LOG_LINES_PER_S,
   });
+  const failedLog = createRateLimitedLog({
+    timer,
+    logger,
+    perSecond: MAX_FAILED_LOG_LINES_PER_S,
+  });
   let stopping = false;
 
   async function readCall(
@@ -258,7 +265,7 @@
       return;
     }
     handle(request, response).catch((error) => {
-      logger.warn("caller.request_failed", errorFields(error));
+      failedLog.info("caller.request_failed", errorFields(error));
       abortResponse(response);
     });
   }, {
