A crowd of connections takes neither the memory of a node nor the place of a caller

Cause: what the system holds for connections that are not read, and answers to requests ahead that its buffers took, were counted nowhere; input was counted every 250 ms only; each connection had a part parsed in each turn, so that a turn grew with the crowd; and 2,000 connections, with 256 on each other port, do not fit the machine. Beyond the limit only idle connections gave way, and connections that wait to be refused counted as places, so that in the end none was left.

--- a/src/http/client_budget.ts
+++ b/src/http/client_budget.ts
@@ -50,8 +50,18 @@
    * parsed in this turn; counts it if so.
    */
   takeAhead(): boolean;
-  /** Calls `task` in the next turn. */
+  /**
+   * Calls `task` in one of the next turns, which then counts as taken: as many in
+   * each turn as may be, in the order of the calls.
+   */
   onNextTurn(task: () => void): void;
+  /**
+   * Adds to the bytes of input that connections hold, or takes from them. Beyond
+   * the limit, the bytes of all connections are added up at once.
+   */
+  changeHeld(change: number): void;
+  /** Whether a connection's client has long taken nothing of what is held. */
+  isStuck(connection: BudgetedConnection): boolean;
   /** Adds up the bytes of all connections soon; closes some if need be. */
   requestCheck(): void;
   /** Adds up the bytes of all connections now; closes some if need be. */
@@ -88,15 +98,21 @@
   let turn = 0;
   let turnEnds = false;
   let aheadInTurn = 0;
-  let waiting: (() => void)[] = [];
+  const waiting: (() => void)[] = [];
+  /** Bytes of input that connections hold. */
+  let heldBytes = 0;
+  /** Turn in which the bytes were last added up because of the limit. */
+  let checkedInTurn = -1;
 
   function beginTurn(): void {
     turnEnds = false;
     turn++;
-    aheadInTurn = 0;
-    const due = waiting;
-    waiting = [];
+    const due = waiting.splice(0, MAX_AHEAD_PER_TURN);
+    aheadInTurn = due.length;
     due.forEach((task) => task());
+    if (waiting.length > 0) {
+      awaitTurnEnd();
+    }
   }
 
   function awaitTurnEnd(): void {
@@ -106,18 +122,22 @@
     }
   }
 
+  function hasNoProgress(connection: BudgetedConnection): boolean {
+    const since = progressOf.get(connection)?.since ?? Infinity;
+    return since <= timer.now() - STUCK_MS;
+  }
+
   /**
    * Chooses connections to close: those with requests ahead, then those whose
    * clients have long taken nothing, and those that hold most first.
    */
   function choose(total: number): BudgetedConnection[] {
-    const stuckSince = timer.now() - STUCK_MS;
-    const candidates = [...progressOf]
-      .map(([connection, { since }]) => ({
+    const candidates = [...progressOf.keys()]
+      .map((connection) => ({
         connection,
         bytes: connection.heldBytes,
         ahead: connection.ahead,
-        stuck: since <= stuckSince,
+        stuck: hasNoProgress(connection),
       }))
       .filter(({ bytes, ahead, stuck }) => bytes > 0 && (ahead || stuck))
       .sort((a, b) => Number(b.ahead) - Number(a.ahead) || b.bytes - a.bytes);
@@ -187,7 +207,18 @@
       awaitTurnEnd();
       return turn;
     },
-    takeAhead: () => aheadInTurn++ < MAX_AHEAD_PER_TURN,
+    takeAhead: () => waiting.length === 0 && aheadInTurn++ < MAX_AHEAD_PER_TURN,
+    changeHeld(change) {
+      heldBytes += change;
+      const isOver = change > 0 && heldBytes > limits.max_buffered_bytes;
+      if (isOver && checkedInTurn !== turn) {
+        checkedInTurn = turn;
+        awaitTurnEnd();
+        check();
+      }
+    },
+    isStuck: (connection) =>
+      connection.heldBytes > 0 && hasNoProgress(connection),
     onNextTurn(task) {
       waiting.push(task);
       awaitTurnEnd();
--- a/src/http/client_limits.ts
+++ b/src/http/client_limits.ts
@@ -24,17 +24,26 @@
       "Requests of all connections that are handled at the same time, beyond " +
         "which each connection has one at a time",
     ),
+  max_ahead_bytes: z.number().int().min(1).default(256 * 1024)
+    .describe(
+      "Bytes of answers to requests that a client sent before the answers to " +
+        "earlier ones, without a pause; then its connection is closed after " +
+        "the pending answers",
+    ),
   max_buffered_bytes: z.number().int().min(1).default(32 * 1024 * 1024)
     .describe(
-      "Unread and unsent bytes of all connections, beyond which those whose " +
-        "clients read nothing are closed",
+      "Unread and unsent bytes of all connections, those in the system's " +
+        "buffers included, beyond which connections are closed whose clients " +
+        "send ahead or read nothing",
     ),
-  max_connections: z.number().int().min(1).default(2_000)
+  max_connections: z.number().int().min(1).default(768)
     .describe(
-      "Open connections from callers, beyond which an idle one is closed for " +
-        "a new one, or the first request of the new one is refused; the other " +
-        "ports of a process have at most 256",
+      "Open connections from callers, beyond which one that is idle or holds " +
+        "much is closed for a new one, or the first request of the new one is " +
+        "refused",
     ),
+  max_other_connections: z.number().int().min(1).default(32)
+    .describe("The same for each other port of a process"),
 });
 
 /** Limits on what clients may make a process hold. */
--- /dev/null
+++ b/src/http/connection_limit_test.ts
@@ -0,0 +1,76 @@
+import { test } from "tap";
+import {
+  findReplaceable,
+  type ReplaceableConnection,
+} from "./connection_limit.ts";
+import type { Connection } from "./connections.ts";
+
+const NOW = 100_000;
+
+interface Sketch extends Partial<Omit<ReplaceableConnection, "connection">> {
+  idle?: boolean;
+}
+
+/** Returns the index of the connection that is closed for a new one. */
+function choose(...sketches: Sketch[]): number {
+  return chooseFor({ hasRequest: false }, sketches);
+}
+
+function chooseFor(
+  options: { hasRequest: boolean },
+  sketches: Sketch[],
+): number {
+  const connections = sketches.map(({ idle = false, ...sketch }) => ({
+    connection: { idle } as Connection,
+    activeAt: NOW,
+    heldBytes: 0,
+    pipelines: false,
+    isSlowSender: false,
+    isStuck: false,
+    ...sketch,
+  }));
+  const found = findReplaceable(connections, { now: NOW, ...options });
+  return found ? connections.indexOf(found) : -1;
+}
+
+test("a connection that is used is not closed for a new one", (t) => {
+  t.equal(choose(), -1);
+  t.equal(choose({}, { heldBytes: 1_000_000 }), -1);
+  t.equal(choose({ idle: true, activeAt: NOW - 900 }), -1, "idle just now");
+  t.end();
+});
+
+test("a client whose request has come is served before one that waits", (t) => {
+  const waiting = [{}, { idle: true, activeAt: NOW - 10 }];
+  t.equal(chooseFor({ hasRequest: true }, waiting), 1);
+  t.equal(chooseFor({ hasRequest: true }, [{}]), -1, "all are used");
+  t.end();
+});
+
+test("the one that has been idle longest goes first", (t) => {
+  t.equal(
+    choose(
+      { pipelines: true, heldBytes: 1_000_000 },
+      { idle: true, activeAt: NOW - 2_000 },
+      { idle: true, activeAt: NOW - 9_000 },
+      { isSlowSender: true },
+    ),
+    2,
+  );
+  t.end();
+});
+
+test("with none idle, a client that misbehaves gives way", (t) => {
+  t.equal(choose({}, { isStuck: true }), 1);
+  t.equal(choose({ isStuck: true }, { isSlowSender: true }), 1);
+  t.equal(choose({ isSlowSender: true }, { pipelines: true }), 1);
+  t.equal(
+    choose({ pipelines: true, heldBytes: 1 }, {
+      pipelines: true,
+      heldBytes: 2,
+    }),
+    1,
+    "the one that holds most",
+  );
+  t.end();
+});
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -32,8 +32,8 @@
   readonly receiving: boolean;
   /** Whether the server has no room for it: its first request is refused. */
   readonly surplus: boolean;
-  /** Called when the server has no room for a connection that it has accepted. */
-  markSurplus(): void;
+  /** Sets whether the server has no room for the connection. */
+  setSurplus(surplus: boolean): void;
   /** Bytes of responses that the client's system has not taken yet. */
   readonly unsentBytes: number;
   /** Whether what the client sends from now on is of no use. */
@@ -140,8 +140,8 @@
     get surplus() {
       return surplus;
     },
-    markSurplus() {
-      surplus = true;
+    setSurplus(next) {
+      surplus = next;
     },
     get unsentBytes() {
       let bytes = socket.writableLength;
--- a/src/http/request_intake.ts
+++ b/src/http/request_intake.ts
@@ -11,17 +11,14 @@
 import { processBufferCollector } from "../core/buffer_collector.ts";
 import type { BudgetedConnection, ClientBudget } from "./client_budget.ts";
 import {
-  type Connection,
-  connectionOfSocket,
-  connectionsOfServer,
-} from "./connections.ts";
+  admitSurplus,
+  findReplaceable,
+  type ReplaceableConnection,
+} from "./connection_limit.ts";
+import { type Connection, connectionOfSocket } from "./connections.ts";
+import { createIncomingRate } from "./incoming_rate.ts";
+import { createUnparsedInput, HEAD_END } from "./unparsed_input.ts";
 
-/**
- * The end of a request's head. A request ends no earlier, so a part of the input
- * up to the first one has at most one new request, or two if the end of the head
- * before was split over two reads.
- */
-const HEAD_END = Buffer.from("\n\r\n");
 /**
  * Unparsed bytes with which a connection is no longer read. Below that, it is
  * read although its requests wait, so that the close by the client is noticed.
@@ -32,68 +29,22 @@
  * then it is read, so that the client gets the last answers and not a reset.
  */
 const MAX_DISCARDED_BYTES = 256 * 1024;
-/** Memory that each read of the input takes, however short it is. */
-const MIN_READ_BYTES = 512;
-/** Time without input after which a connection may be closed for a new one. */
-const MIN_IDLE_MS = 1_000;
-
 /**
- * Connections beyond the limit that are open until their first request is
- * refused.
+ * Bytes that the system may hold unread for a connection that is not read: the
+ * window that it opens to a client at first.
+ */
+const SYSTEM_UNREAD_BYTES = 64 * 1024;
+/**
+ * Bytes of unread answers with which a connection that has to go is closed at
+ * once; with less, its client gets the answers to what is handled first.
  */
-const MAX_SURPLUS_CONNECTIONS = 64;
-/** Time that such a connection has for its first request. */
-const SURPLUS_REQUEST_MS = 1_000;
+const MAX_GRACEFUL_BYTES = 64 * 1024;
 
 /** A socket, with the runtime's mark that it waits until answers are sent. */
 type HttpSocket = Socket & { _paused?: boolean };
 
 /** The input of one connection. */
-interface Intake extends BudgetedConnection {
-  readonly connection: Connection;
-  /** When input was last received. */
-  readonly activeAt: number;
-}
-
-/** Input of a connection that is not parsed yet. */
-function createUnparsedInput() {
-  /** What was read, in order; `offset` bytes of the first are parsed. */
-  let reads: Buffer[] = [];
-  let offset = 0;
-  let bytes = 0;
-  return {
-    get isEmpty() {
-      return reads.length === 0;
-    },
-    /** Memory that it takes. */
-    get bytes() {
-      return bytes;
-    },
-    push(read: Buffer): void {
-      reads.push(read);
-      bytes += Math.max(read.length, MIN_READ_BYTES);
-    },
-    /** Takes the input up to the end of the next head. */
-    takePart(): Buffer {
-      const [first] = reads;
-      const index = first.indexOf(HEAD_END, offset);
-      const end = index < 0 ? first.length : index + HEAD_END.length;
-      const part = first.subarray(offset, end);
-      offset = end;
-      if (end === first.length) {
-        reads.shift();
-        offset = 0;
-        bytes -= Math.max(first.length, MIN_READ_BYTES);
-      }
-      return part;
-    },
-    clear(): void {
-      reads = [];
-      offset = 0;
-      bytes = 0;
-    },
-  };
-}
+interface Intake extends BudgetedConnection, ReplaceableConnection {}
 
 function createIntake(
   connection: Connection,
@@ -103,18 +54,63 @@
   const socket: HttpSocket = connection.socket;
   const unparsed = createUnparsedInput();
   let discardedBytes = 0;
+  const incoming = createIncomingRate();
   let parsing = false;
   let paused = false;
   let activeAt = performance.now();
   /** Turn of the event loop in which the latest part was parsed. */
   let parsedInTurn = -1;
   let waitsForTurn = false;
+  /** Whether a part may be parsed, since the connection has waited for its turn. */
+  let hasTurn = false;
+  /** Whether requests were sent ahead since the connection was last idle. */
+  let pipelines = false;
+  /** Bytes that the client's system had taken when the connection was last idle. */
+  let sentWhenIdle = 0;
+  /** What the budget has counted of this connection. */
+  let countedBytes = 0;
   /** Whether the parser has a part of a head, whose time limit runs. */
   let headBegun = false;
 
-  /** Whether a part may be parsed in this turn; otherwise waits for the next. */
+  function sentBytes(): number {
+    return socket.bytesWritten - socket.writableLength;
+  }
+
+  /** Answers to requests that were sent ahead; the client may not have read them. */
+  function aheadBytes(): number {
+    return pipelines ? sentBytes() - sentWhenIdle : 0;
+  }
+
+  /** Bytes that change only here, so that the budget can count them at once. */
+  function inputBytes(): number {
+    return unparsed.bytes + (paused ? SYSTEM_UNREAD_BYTES : 0) + aheadBytes();
+  }
+
+  function updateCount(): void {
+    const bytes = inputBytes();
+    const change = bytes - countedBytes;
+    countedBytes = bytes;
+    budget.changeHeld(change);
+  }
+
+  /** Notes whether the input that has just come belongs to a request ahead. */
+  function notePipelining(): void {
+    if (connection.idle && unparsed.isEmpty) {
+      pipelines = false;
+      sentWhenIdle = sentBytes();
+    } else if (connection.pending > 0 && !connection.receiving) {
+      pipelines = true;
+    }
+  }
+
+  /**
+   * Whether a part may be parsed in this turn; otherwise waits for a later one. A
+   * client that sends nothing ahead does not wait behind those that do.
+   */
   function takeTurn(): boolean {
-    if (parsedInTurn !== budget.turn || budget.takeAhead()) {
+    const isFirst = !pipelines && parsedInTurn !== budget.turn;
+    if (hasTurn || isFirst || budget.takeAhead()) {
+      hasTurn = false;
       parsedInTurn = budget.turn;
       return true;
     }
@@ -122,6 +118,7 @@
       waitsForTurn = true;
       budget.onNextTurn(() => {
         waitsForTurn = false;
+        hasTurn = true;
         proceed();
       });
     }
@@ -152,6 +149,20 @@
     // each head go beyond the limits without end.
     headBegun = connection.latest === latest && !connection.receiving &&
       part.indexOf(HEAD_END) < 0;
+    if (!headBegun && !connection.receiving) {
+      incoming.complete();
+    }
+    if (!unparsed.isEmpty && connection.pending > 0 && !connection.receiving) {
+      pipelines = true;
+    }
+  }
+
+  /** Closes a connection whose client sends ahead without end. */
+  function endPipelining(): void {
+    if (aheadBytes() >= limits.max_ahead_bytes && !connection.refusing) {
+      connection.refuseRequests();
+      connection.afterResponses(() => socket.destroySoon());
+    }
   }
 
   function parseUnparsed(): void {
@@ -188,20 +199,34 @@
     }
     parsing = true;
     try {
+      endPipelining();
       parseUnparsed();
     } finally {
       parsing = false;
     }
     updatePause();
+    updateCount();
   }
 
   socket.on("data", (read: Buffer) => {
     activeAt = performance.now();
+    notePipelining();
+    incoming.note(read.length, activeAt);
     unparsed.push(read);
     budget.requestCheck();
     processBufferCollector.note(read.length);
     proceed();
   });
+  socket.once("end", () => {
+    // The client has left: nobody reads answers to what is not handled yet.
+    unparsed.clear();
+    updateCount();
+  });
+  socket.once("close", () => {
+    unparsed.clear();
+    budget.changeHeld(-countedBytes);
+    countedBytes = 0;
+  });
   socket.on("drain", proceed);
   socket.on("resume", proceed);
   connection.onPending((change) => {
@@ -215,20 +240,30 @@
       return activeAt;
     },
     get heldBytes() {
-      return unparsed.bytes + socket.readableLength + connection.unsentBytes;
+      return inputBytes() + socket.readableLength + connection.unsentBytes;
     },
     get sentBytes() {
-      return socket.bytesWritten - socket.writableLength;
+      return sentBytes();
+    },
+    get pipelines() {
+      return pipelines;
+    },
+    get isSlowSender() {
+      return incoming.isSlow(performance.now());
+    },
+    get isStuck() {
+      return budget.isStuck(this);
     },
     get ahead() {
-      return !unparsed.isEmpty || connection.pending > 1;
+      return pipelines || !unparsed.isEmpty || connection.pending > 1;
     },
     shed() {
       const { unsentBytes, receiving } = connection;
       // What follows a dropped part of a body would be taken for that part.
       const cutsBody = receiving && !unparsed.isEmpty;
+      const isUnread = unsentBytes > 0 || aheadBytes() > MAX_GRACEFUL_BYTES;
       unparsed.clear();
-      if (unsentBytes > 0 || socket.readableLength > 0 || cutsBody) {
+      if (isUnread || socket.readableLength > 0 || cutsBody) {
         socket.destroy();
         return;
       }
@@ -239,6 +274,15 @@
   };
 }
 
+/** The limits on the clients of one server. */
+export interface IntakeLimits {
+  /**
+   * Called with a connection for which there is no room once its first request
+   * has come; returns whether there is room for it now.
+   */
+  admit(connection: Connection): boolean;
+}
+
 /**
  * Limits what the clients of a server may make it hold. `trackConnections` must
  * have been called for the server.
@@ -249,43 +293,24 @@
     budget: ClientBudget;
     maxConnections: number;
   },
-): void {
+): IntakeLimits {
   const intakes = new Map<Socket, Intake>();
 
-  /** The connection that is closed for a new one, if one may be. */
-  function findReplaceable(): Intake | undefined {
-    const latest = performance.now() - MIN_IDLE_MS;
-    let found: Intake | undefined;
-    for (const intake of intakes.values()) {
-      const { connection, activeAt } = intake;
-      if (connection.idle && activeAt < (found?.activeAt ?? latest)) {
-        found = intake;
-      }
-    }
-    return found;
-  }
-
-  /**
-   * Makes room for a new connection. With no idle one to close, the first request
-   * of the new one is refused, so that its client learns when to come back.
-   */
-  function makeRoom(connection: Connection): void {
-    const replaceable = findReplaceable();
-    if (replaceable) {
-      replaceable.connection.socket.destroy();
-      return;
+  /** Makes room for one more connection, if there is none; returns whether it could. */
+  function makeRoom(hasRequest: boolean): boolean {
+    if (intakes.size < maxConnections) {
+      return true;
     }
-    connection.markSurplus();
-    setTimeout(() => {
-      if (connection.unused) {
-        connection.socket.destroy();
-      }
-    }, SURPLUS_REQUEST_MS).unref();
-    const surplus = [...connectionsOfServer(server).open]
-      .filter((one) => one.surplus);
-    if (surplus.length > MAX_SURPLUS_CONNECTIONS) {
-      (surplus.find((one) => one.unused) ?? connection).socket.destroy();
+    const others = [...intakes.values()].filter(({ connection }) =>
+      !connection.surplus
+    );
+    if (others.length < maxConnections) {
+      return true;
     }
+    const now = performance.now();
+    const replaceable = findReplaceable(others, { now, hasRequest });
+    replaceable?.connection.socket.destroy();
+    return replaceable !== undefined;
   }
 
   server.on("connection", (socket: Socket) => {
@@ -294,8 +319,8 @@
     if (!connection || !parse) {
       return;
     }
-    if (connectionsOfServer(server).open.size > maxConnections) {
-      makeRoom(connection);
+    if (!makeRoom(false)) {
+      admitSurplus(server, connection);
     }
     // The parser no longer reads from the connection itself.
     socket.removeListener("data", parse);
@@ -307,4 +332,12 @@
       budget.remove(intake);
     });
   });
+
+  return {
+    admit(connection) {
+      const hasRoom = makeRoom(true);
+      connection.setSurplus(!hasRoom);
+      return hasRoom;
+    },
+  };
 }
--- a/src/http/request_intake_test.ts
+++ b/src/http/request_intake_test.ts
@@ -279,6 +279,116 @@
   await held.close();
 });
 
+test("a client with one request is not behind those that send ahead", async (t) => {
+  const budget = createClientBudget();
+  const order: string[] = [];
+  const server = createHttpServer((request, response) => {
+    order.push(request.url ?? "");
+    response.end();
+  }, { clients: budget });
+  const address = await listenHttp(server, `${HOST}:0`);
+  const port = Number(address.split(":")[1]);
+  const open = async () => {
+    const socket = connect(port, HOST);
+    socket.on("error", () => {});
+    socket.resume();
+    await new Promise((resolve) => socket.once("connect", resolve));
+    return socket;
+  };
+  const crowd = await Promise.all(Array.from({ length: 20 }, open));
+  const ordinary = await open();
+  crowd.forEach((socket) => socket.write(get("/ahead").repeat(1_000)));
+  await until(() => order.length > 500);
+  const before = order.length;
+  ordinary.write(get("/ordinary"));
+  await until(() => order.includes("/ordinary"));
+  const behind = order.indexOf("/ordinary") - before;
+  t.ok(behind < 2_000, `behind ${behind} requests of ${20 * 1_000}`);
+  [...crowd, ordinary].forEach((socket) => socket.destroy());
+  await closeHttp(server);
+});
+
+test("a client that sends ahead without end is cut off after the pending answers", async (t) => {
+  const limits = clientLimitsSchema.parse({ max_ahead_bytes: 20_000 });
+  const server = createHttpServer((_, response) => {
+    response.end("x".repeat(1_000));
+  }, { clients: createClientBudget({ limits }) });
+  const address = await listenHttp(server, `${HOST}:0`);
+  const socket = connect(Number(address.split(":")[1]), HOST);
+  socket.on("error", () => {});
+  let received = "";
+  socket.on("data", (part) => received += String(part));
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  socket.write(get("/").repeat(500));
+  await closed;
+  t.ok(received.length >= 20_000 && received.length < 100_000);
+  t.ok(received.endsWith("x".repeat(1_000)), "the last answer is whole");
+  await closeHttp(server);
+});
+
+test("answers to requests one after the other are not counted as ahead", async (t) => {
+  const limits = clientLimitsSchema.parse({ max_ahead_bytes: 5_000 });
+  const server = createHttpServer((_, response) => {
+    response.end("x".repeat(1_000));
+  }, { clients: createClientBudget({ limits }) });
+  const address = await listenHttp(server, `${HOST}:0`);
+  const socket = connect(Number(address.split(":")[1]), HOST);
+  let answers = 0;
+  socket.on(
+    "data",
+    (part) => answers += String(part).split("HTTP/1.1").length - 1,
+  );
+  for (let count = 1; count <= 30; count++) {
+    socket.write(get("/"));
+    await until(() => answers === count);
+  }
+  t.equal(socket.destroyed, false);
+  socket.destroy();
+  await closeHttp(server);
+});
+
+test("input beyond the limit of all connections is dropped as it comes", async (t) => {
+  const limits = clientLimitsSchema.parse({
+    max_requests_ahead: 2,
+    max_buffered_bytes: 400_000,
+  });
+  // The periodic check does not run.
+  const budget = createClientBudget({ limits, timer: createFakeTimer() });
+  let held = 0;
+  let mostHeld = 0;
+  const responses: ServerResponse[] = [];
+  const server = createHttpServer((_, response) => responses.push(response), {
+    clients: {
+      ...budget,
+      changeHeld(change) {
+        budget.changeHeld(change);
+        held += change;
+        mostHeld = Math.max(mostHeld, held);
+      },
+    },
+  });
+  const address = await listenHttp(server, `${HOST}:0`);
+  const port = Number(address.split(":")[1]);
+  const crowd = Array.from({ length: 30 }, () => connect(port, HOST));
+  for (const socket of crowd) {
+    socket.on("error", () => {});
+    socket.write(get("/").repeat(3_000));
+  }
+  await until(() => mostHeld > limits.max_buffered_bytes);
+  await settle();
+  // One connection may exceed the limit by what was read and the system holds.
+  const bound = limits.max_buffered_bytes + 2 * 128 * 1024;
+  t.ok(mostHeld < bound, `${mostHeld} of ${bound} bytes`);
+  crowd.forEach((socket) => socket.destroy());
+  // The close of a connection that is not read is noticed after its answers.
+  while (held > 0) {
+    responses.splice(0).forEach((response) => response.end());
+    await settle();
+  }
+  t.equal(held, 0, "nothing is held once all have left");
+  await closeHttp(server);
+});
+
 test("only clients that hold much and read nothing are closed", async (t) => {
   const timer = createFakeTimer();
   const limits = clientLimitsSchema.parse({ max_buffered_bytes: 100 });
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -13,6 +13,7 @@
 import { StepError } from "../core/errors.ts";
 import { splitAddress } from "../network/channel.ts";
 import {
+  type Connection,
   connectionOfSocket,
   connectionsOfServer,
   trackConnections,
@@ -43,17 +44,15 @@
   /** What the servers of the process may hold; one of its own by default. */
   clients?: ClientBudget;
   /**
-   * Open connections beyond which an idle one is closed for a new one, or the
-   * first request of the new one is refused; 256 by default.
+   * Open connections beyond which one is closed for a new one, or the first
+   * request of the new one is refused; by default the limit of the ports that are
+   * not for callers.
    */
   maxConnections?: number;
   /** Refuses a request for whose connection there is no room; 503 by default. */
   refuse?: HttpHandler;
 }
 
-/** Open connections of a server that is not for callers. */
-const DEFAULT_MAX_CONNECTIONS = 256;
-
 /** Time after which a client is to come back for whose connection there was no room. */
 export const NO_ROOM_RETRY_AFTER_MS = 1_000;
 const MS_PER_SECOND = 1_000;
@@ -70,10 +69,16 @@
  * Returns a handler that refuses requests on connections for which there is no
  * room, and closes these after the response.
  */
-function refuseSurplus(handler: HttpHandler, refuse: HttpHandler): HttpHandler {
+function refuseSurplus(
+  handler: HttpHandler,
+  { refuse, admit }: {
+    refuse: HttpHandler;
+    admit: (connection: Connection) => boolean;
+  },
+): HttpHandler {
   return (request, response) => {
     const connection = connectionOfSocket(request.socket);
-    if (!connection?.surplus) {
+    if (!connection?.surplus || admit(connection)) {
       handler(request, response);
       return;
     }
@@ -92,7 +97,7 @@
   const {
     onMalformed = () => {},
     clients = createClientBudget(),
-    maxConnections = DEFAULT_MAX_CONNECTIONS,
+    maxConnections = clients.limits.max_other_connections,
     refuse = refuseWithoutRoom,
   } = options;
   const server = createServer({
@@ -104,9 +109,10 @@
     insecureHTTPParser: false,
     noDelay: true,
   });
-  trackConnections(server, refuseSurplus(handler, refuse));
+  const admit = (connection: Connection) => intake.admit(connection);
+  trackConnections(server, refuseSurplus(handler, { refuse, admit }));
   handleInputErrors(server, onMalformed);
-  limitIntake(server, { budget: clients, maxConnections });
+  const intake = limitIntake(server, { budget: clients, maxConnections });
   return server;
 }
 
--- a/tests/clients/crowd.ts
+++ b/tests/clients/crowd.ts
@@ -88,7 +88,10 @@
 }
 
 /** Sends one ordinary request; resolves with its status line or `""`. */
-function fetchStatusLine(port: number, request: string): Promise<string> {
+export function fetchStatusLine(
+  port: number,
+  request: string,
+): Promise<string> {
   return new Promise((resolve) => {
     const socket = connect(port, HOST);
     let received = "";
--- a/tests/clients/platform/site.ts
+++ b/tests/clients/platform/site.ts
@@ -19,8 +19,9 @@
   SERVICE,
   ZONE,
 } from "../../platform/harness.ts";
+import type { ClientLimits } from "../../../src/http/client_limits.ts";
 import { eventually } from "../../processes.ts";
-import { type Site, startLimited } from "../processes.ts";
+import { type ProcessLimits, type Site, startLimited } from "../processes.ts";
 import type { OrdinaryRequest } from "../crowd.ts";
 import { request } from "../requests.ts";
 
@@ -57,8 +58,17 @@
   );
 }
 
-/** Starts the product on the platform: a node, a control replica, a server. */
-export async function startPlatformSite(bodyBytes = 64): Promise<Site> {
+/**
+ * Starts the product on the platform: a node, a control replica, a server whose
+ * answers have some bytes. Limits on clients are the defaults where not given.
+ */
+export async function startPlatformSite(
+  { bodyBytes = 64, limits = {}, process }: {
+    bodyBytes?: number;
+    limits?: Partial<ClientLimits>;
+    process?: ProcessLimits;
+  } = {},
+): Promise<Site> {
   const folder = mkdtempSync(join(tmpdir(), "mustardcross-clients-"));
   const [rpc, controlMetrics] = await findFreePortRange(2);
   const [peer, metrics] = await findFreePortRange(2);
@@ -91,8 +101,14 @@
     "control",
     controlFile,
     address,
-  ]);
-  const node = startLimited(PLATFORM_MAIN, ["node", nodeFile, address]);
+    JSON.stringify(limits),
+  ], process);
+  const node = startLimited(PLATFORM_MAIN, [
+    "node",
+    nodeFile,
+    address,
+    JSON.stringify(limits),
+  ], process);
   const ports = {
     operator,
     nodeApi,
--- a/tests/clients/processes.ts
+++ b/tests/clients/processes.ts
@@ -9,6 +9,7 @@
   mkdtempSync,
   readdirSync,
   readFileSync,
+  readlinkSync,
   rmSync,
   writeFileSync,
 } from "node:fs";
@@ -27,6 +28,8 @@
 const MAX_DESCRIPTORS = 256;
 const BYTES_PER_KB = 1_024;
 const TOKEN = "test-token";
+/** State of a listening socket in the system's table. */
+const LISTEN_STATE = "0A";
 
 /** A process that was started. */
 export interface LimitedProcess {
@@ -34,6 +37,8 @@
   /** Most memory that the process has had since `resetPeak`, in bytes. */
   peakBytes(): number;
   resetPeak(): void;
+  /** Bytes that its sockets hold now, unread or unsent. */
+  socketBytes(): number;
   /** Number of descriptors that are open now. */
   descriptors(): number;
   /** Last lines of the output. */
@@ -41,17 +46,61 @@
   end(): Promise<void>;
 }
 
+/** Returns the inode numbers of a process's sockets. */
+function findSocketInodes(pid: number): Set<string> {
+  const folder = `/proc/${pid}/fd`;
+  const inodes = new Set<string>();
+  for (const name of readdirSync(folder)) {
+    try {
+      const [, inode] = /^socket:\[(\d+)\]$/
+        .exec(readlinkSync(join(folder, name))) ?? [];
+      inodes.add(inode);
+    } catch {
+      // The descriptor was closed meanwhile.
+    }
+  }
+  return inodes;
+}
+
+/** Returns the bytes in the queues of a process's TCP sockets over IPv4. */
+function readSocketBytes(pid: number): number {
+  const inodes = findSocketInodes(pid);
+  let bytes = 0;
+  const lines = readFileSync(`/proc/${pid}/net/tcp`, "utf8").split("\n");
+  for (const line of lines.slice(1).filter((line) => line !== "")) {
+    const [, , , state, queues, , , , , inode] = line.trim().split(/\s+/);
+    // The queues of a listener are connections.
+    if (state !== LISTEN_STATE && inodes.has(inode)) {
+      const [unsent, unread] = queues.split(":").map((hex) =>
+        parseInt(hex, 16)
+      );
+      bytes += unsent + unread;
+    }
+  }
+  return bytes;
+}
+
+/** What a process may use; small by default. */
+export interface ProcessLimits {
+  heapMb?: number;
+  descriptors?: number;
+}
+
 /** Starts a script with a small heap and few descriptors. */
-export function startLimited(script: string, args: string[]): LimitedProcess {
+export function startLimited(
+  script: string,
+  args: string[],
+  { heapMb = HEAP_MB, descriptors = MAX_DESCRIPTORS }: ProcessLimits = {},
+): LimitedProcess {
   // The shell lowers the limit of the process that it becomes. Without `unset`,
   // the process would load the test runner's code, which takes 40 MB.
   const command =
-    `unset NODE_OPTIONS; ulimit -n ${MAX_DESCRIPTORS}; exec "$0" "$@"`;
+    `unset NODE_OPTIONS; ulimit -n ${descriptors}; exec "$0" "$@"`;
   const child: ChildProcess = spawn("sh", [
     "-c",
     command,
     process.execPath,
-    `--max-old-space-size=${HEAP_MB}`,
+    `--max-old-space-size=${heapMb}`,
     "--max-semi-space-size=4",
     "--single-threaded-gc",
     "--expose-gc",
@@ -80,6 +129,7 @@
       return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * BYTES_PER_KB;
     },
     resetPeak: () => writeFileSync(`/proc/${child.pid}/clear_refs`, "5"),
+    socketBytes: () => readSocketBytes(child.pid!),
     descriptors: () => readdirSync(`/proc/${child.pid}/fd`).length,
     output: () => output,
     async end() {
