--- a/src/http/request_intake.ts
+++ b/src/http/request_intake.ts
@@ -17,6 +17,7 @@
 } from "./connection_limit.ts";
 import { type Connection, connectionOfSocket } from "./connections.ts";
 import { createIncomingRate } from "./incoming_rate.ts";
+import { createRequestsAhead } from "./requests_ahead.ts";
 import { createUnparsedInput, HEAD_END } from "./unparsed_input.ts";
 
 /**
@@ -53,8 +54,9 @@
   const { limits } = budget;
   const socket: HttpSocket = connection.socket;
   const unparsed = createUnparsedInput();
-  let discardedBytes = 0;
+  const ahead = createRequestsAhead(connection);
   const incoming = createIncomingRate();
+  let discardedBytes = 0;
   let parsing = false;
   let paused = false;
   let activeAt = performance.now();
@@ -63,27 +65,15 @@
   let waitsForTurn = false;
   /** Whether a part may be parsed, since the connection has waited for its turn. */
   let hasTurn = false;
-  /** Whether requests were sent ahead since the connection was last idle. */
-  let pipelines = false;
-  /** Bytes that the client's system had taken when the connection was last idle. */
-  let sentWhenIdle = 0;
   /** What the budget has counted of this connection. */
   let countedBytes = 0;
   /** Whether the parser has a part of a head, whose time limit runs. */
   let headBegun = false;
 
-  function sentBytes(): number {
-    return socket.bytesWritten - socket.writableLength;
-  }
-
-  /** Answers to requests that were sent ahead; the client may not have read them. */
-  function aheadBytes(): number {
-    return pipelines ? sentBytes() - sentWhenIdle : 0;
-  }
-
   /** Bytes that change only here, so that the budget can count them at once. */
   function inputBytes(): number {
-    return unparsed.bytes + (paused ? SYSTEM_UNREAD_BYTES : 0) + aheadBytes();
+    return unparsed.bytes + (paused ? SYSTEM_UNREAD_BYTES : 0) +
+      ahead.answerBytes;
   }
 
   function updateCount(): void {
@@ -93,22 +83,12 @@
     budget.changeHeld(change);
   }
 
-  /** Notes whether the input that has just come belongs to a request ahead. */
-  function notePipelining(): void {
-    if (connection.idle && unparsed.isEmpty) {
-      pipelines = false;
-      sentWhenIdle = sentBytes();
-    } else if (connection.pending > 0 && !connection.receiving) {
-      pipelines = true;
-    }
-  }
-
   /**
    * Whether a part may be parsed in this turn; otherwise waits for a later one. A
    * client that sends nothing ahead does not wait behind those that do.
    */
   function takeTurn(): boolean {
-    const isFirst = !pipelines && parsedInTurn !== budget.turn;
+    const isFirst = !ahead.any && parsedInTurn !== budget.turn;
     if (hasTurn || isFirst || budget.takeAhead()) {
       hasTurn = false;
       parsedInTurn = budget.turn;
@@ -152,14 +132,12 @@
     if (!headBegun && !connection.receiving) {
       incoming.complete();
     }
-    if (!unparsed.isEmpty && connection.pending > 0 && !connection.receiving) {
-      pipelines = true;
-    }
+    ahead.noteParsed(!unparsed.isEmpty);
   }
 
   /** Closes a connection whose client sends ahead without end. */
   function endPipelining(): void {
-    if (aheadBytes() >= limits.max_ahead_bytes && !connection.refusing) {
+    if (ahead.answerBytes >= limits.max_ahead_bytes && !connection.refusing) {
       connection.refuseRequests();
       connection.afterResponses(() => socket.destroySoon());
     }
@@ -210,7 +188,7 @@
 
   socket.on("data", (read: Buffer) => {
     activeAt = performance.now();
-    notePipelining();
+    ahead.noteInput(!unparsed.isEmpty);
     incoming.note(read.length, activeAt);
     unparsed.push(read);
     budget.requestCheck();
@@ -243,10 +221,10 @@
       return inputBytes() + socket.readableLength + connection.unsentBytes;
     },
     get sentBytes() {
-      return sentBytes();
+      return ahead.sentBytes;
     },
     get pipelines() {
-      return pipelines;
+      return ahead.any;
     },
     get isSlowSender() {
       return incoming.isSlow(performance.now());
@@ -255,13 +233,14 @@
       return budget.isStuck(this);
     },
     get ahead() {
-      return pipelines || !unparsed.isEmpty || connection.pending > 1;
+      return ahead.any || !unparsed.isEmpty || connection.pending > 1;
     },
     shed() {
       const { unsentBytes, receiving } = connection;
       // What follows a dropped part of a body would be taken for that part.
       const cutsBody = receiving && !unparsed.isEmpty;
-      const isUnread = unsentBytes > 0 || aheadBytes() > MAX_GRACEFUL_BYTES;
+      const isUnread = unsentBytes > 0 ||
+        ahead.answerBytes > MAX_GRACEFUL_BYTES;
       unparsed.clear();
       if (isUnread || socket.readableLength > 0 || cutsBody) {
         socket.destroy();
@@ -270,6 +249,7 @@
       connection.refuseRequests();
       connection.afterResponses(() => socket.destroySoon());
       updatePause();
+      updateCount();
     },
   };
 }
