--- a/src/http/connection_limit.ts
+++ b/src/http/connection_limit.ts
@@ -26,7 +26,7 @@
   /** Bytes that are held for it. */
   readonly heldBytes: number;
   /** Whether its client sends requests before the answers to earlier ones. */
-  readonly pipelines: boolean;
+  readonly sendsAhead: boolean;
   /** Whether a request on it has been coming too slowly for too long. */
   readonly isSlowSender: boolean;
   /** Whether its client has long taken no byte of what is held for it. */
@@ -37,7 +37,7 @@
 const GROUNDS: ((one: ReplaceableConnection, now: number) => boolean)[] = [
   ({ connection, activeAt }, now) =>
     connection.idle && activeAt < now - MIN_IDLE_MS,
-  ({ pipelines }) => pipelines,
+  ({ sendsAhead }) => sendsAhead,
   ({ isSlowSender }) => isSlowSender,
   ({ isStuck }) => isStuck,
 ];
--- a/src/http/connection_limit_test.ts
+++ b/src/http/connection_limit_test.ts
@@ -24,7 +24,7 @@
     connection: { idle } as Connection,
     activeAt: NOW,
     heldBytes: 0,
-    pipelines: false,
+    sendsAhead: false,
     isSlowSender: false,
     isStuck: false,
     ...sketch,
@@ -50,7 +50,7 @@
 test("the one that has been idle longest goes first", (t) => {
   t.equal(
     choose(
-      { pipelines: true, heldBytes: 1_000_000 },
+      { sendsAhead: true, heldBytes: 1_000_000 },
       { idle: true, activeAt: NOW - 2_000 },
       { idle: true, activeAt: NOW - 9_000 },
       { isSlowSender: true },
@@ -63,10 +63,10 @@
 test("with none idle, a client that misbehaves gives way", (t) => {
   t.equal(choose({}, { isStuck: true }), 1);
   t.equal(choose({ isStuck: true }, { isSlowSender: true }), 1);
-  t.equal(choose({ isSlowSender: true }, { pipelines: true }), 1);
+  t.equal(choose({ isSlowSender: true }, { sendsAhead: true }), 1);
   t.equal(
-    choose({ pipelines: true, heldBytes: 1 }, {
-      pipelines: true,
+    choose({ sendsAhead: true, heldBytes: 1 }, {
+      sendsAhead: true,
       heldBytes: 2,
     }),
     1,
--- a/src/http/request_intake.ts
+++ b/src/http/request_intake.ts
@@ -223,7 +223,7 @@
     get sentBytes() {
       return ahead.sentBytes;
     },
-    get pipelines() {
+    get sendsAhead() {
       return ahead.any;
     },
     get isSlowSender() {
--- a/src/metrics/busy_spells.ts
+++ b/src/metrics/busy_periods.ts
@@ -1,6 +1,6 @@
 /**
- * Busy spells: times in which the event loop of a process never waited for input or
- * a timer. The number of its turns in a spell tells a process that polls without
+ * Busy periods: times in which the event loop of a process never waited for input or
+ * a timer. The number of its turns in a period tells a process that polls without
  * end (many short turns) from one that has too much work (few long ones).
  * @module
  */
@@ -32,8 +32,8 @@
   };
 }
 
-/** Options of {@link watchBusySpells}. */
-export interface BusySpellsOptions {
+/** Options of {@link watchBusyPeriods}. */
+export interface BusyPeriodsOptions {
   lag: Pick<EventLoopLag, "onTick">;
   logger: Logger;
   timer: Timer;
@@ -43,20 +43,20 @@
 
 /** Idle time between two ticks up to which the loop counts as busy. */
 const MAX_IDLE_MS = 0.5;
-/** Shortest busy spell that is logged. */
-const LOGGED_SPELL_MS = 1_000;
-const SPELL_LINES_PER_S = 1;
+/** Shortest busy period that is logged. */
+const LOGGED_PERIOD_MS = 1_000;
+const LINES_PER_S = 1;
 const MS_PER_SECOND = 1_000;
 
 /**
- * Logs busy spells as `process.busy`, while they last, and exposes the number of
- * turns and the length of the present spell as gauges.
+ * Logs busy periods as `process.busy`, while they last, and exposes the number of
+ * turns and the length of the present period as gauges.
  */
-export function watchBusySpells(options: BusySpellsOptions): void {
+export function watchBusyPeriods(options: BusyPeriodsOptions): void {
   const { lag, timer, metrics, readTotals = readEventLoopTotals } = options;
   const log = createRateLimitedLog({
     ...options,
-    perSecond: SPELL_LINES_PER_S,
+    perSecond: LINES_PER_S,
   });
   let last = readTotals();
   let first = last;
@@ -71,10 +71,10 @@
       busySince = timer.now();
       return;
     }
-    const spellMs = timer.now() - busySince;
-    if (spellMs >= LOGGED_SPELL_MS) {
+    const periodMs = timer.now() - busySince;
+    if (periodMs >= LOGGED_PERIOD_MS) {
       log.infoLazy("process.busy", () => ({
-        ms: Math.round(spellMs),
+        ms: Math.round(periodMs),
         turns: totals.turns - first.turns,
         events: totals.events - first.events,
       }));
--- a/src/metrics/busy_spells_test.ts
+++ b/src/metrics/busy_periods_test.ts
@@ -4,15 +4,15 @@
 import {
   type EventLoopTotals,
   readEventLoopTotals,
-  watchBusySpells,
-} from "./busy_spells.ts";
+  watchBusyPeriods,
+} from "./busy_periods.ts";
 
-test("a busy spell is logged with its turns until the loop waits", async (t) => {
+test("a busy period is logged with its turns until the loop waits", async (t) => {
   const lines: string[] = [];
   const timer = createFakeTimer();
   let totals: EventLoopTotals = { idleMs: 5, turns: 10, events: 1 };
   let tick = (_: number): void => {};
-  watchBusySpells({
+  watchBusyPeriods({
     timer,
     logger: createLogger({ write: (line) => lines.push(line) }),
     lag: {
@@ -34,7 +34,7 @@
   await pass(5_000, { idleMs: 4_000 });
   t.equal(lines.length, 1, "the loop has waited");
   await pass(800, {});
-  t.equal(lines.length, 1, "the next spell is short");
+  t.equal(lines.length, 1, "the next period is short");
 });
 
 test("the totals of this process grow", async (t) => {
--- a/src/process.ts
+++ b/src/process.ts
@@ -23,7 +23,7 @@
   logEventLoopDelays,
   registerProcessGauges,
 } from "./metrics/event_loop.ts";
-import { watchBusySpells } from "./metrics/busy_spells.ts";
+import { watchBusyPeriods } from "./metrics/busy_periods.ts";
 import { createMetrics } from "./metrics/metrics.ts";
 import { createTcpNetwork } from "./network/tcp.ts";
 import { createNode, type Node } from "./node/node.ts";
@@ -126,7 +126,7 @@
   const metrics = createMetrics();
   registerControlGauges(metrics, control);
   registerProcessGauges(metrics, lag);
-  watchBusySpells({ ...context, metrics });
+  watchBusyPeriods({ ...context, metrics });
   const api = createMetricsApi(metrics, clients);
   await api.listen(address);
   return api;
@@ -184,7 +184,7 @@
   });
   await node.start();
   registerProcessGauges(node.metrics, context.lag);
-  watchBusySpells({ ...context, metrics: node.metrics });
+  watchBusyPeriods({ ...context, metrics: node.metrics });
   const callerServer = createCallerServer({
     node,
     dialect: platform.callerDialect,
