--- a/src/core/log_limit.ts
+++ b/src/core/log_limit.ts
@@ -6,21 +6,30 @@
 import type { Timer } from "../time/timer.ts";
 import type { Logger, LogValue } from "./logger.ts";
 
-/** A log with a limited rate of lines. */
+/** A log with a limited rate of lines, which all have the same level. */
 export interface RateLimitedLog {
   /** Logs an event, or counts it as suppressed. */
-  info(event: string, fields: Record<string, LogValue>): void;
+  write(event: string, fields: Record<string, LogValue>): void;
   /** Does the same, but computes the fields only if the line is written. */
-  infoLazy(event: string, fields: () => Record<string, LogValue>): void;
+  writeLazy(event: string, fields: () => Record<string, LogValue>): void;
 }
 
 const WINDOW_MS = 1_000;
 
+/** Options of {@link createRateLimitedLog}. */
+export interface RateLimitedLogOptions {
+  logger: Logger;
+  timer: Timer;
+  perSecond: number;
+  /** Level of the lines; `info` by default. */
+  level?: "info" | "warn";
+}
+
 /** Creates a log that writes at most `perSecond` lines per second. */
 export function createRateLimitedLog(
-  options: { logger: Logger; timer: Timer; perSecond: number },
+  options: RateLimitedLogOptions,
 ): RateLimitedLog {
-  const { logger, timer, perSecond } = options;
+  const { logger, timer, perSecond, level = "info" } = options;
   let windowStart = timer.now();
   let written = 0;
   let suppressed = 0;
@@ -30,14 +39,14 @@
       return;
     }
     if (suppressed > 0) {
-      logger.info("log.left_out", { lines: suppressed });
+      logger[level]("log.left_out", { lines: suppressed });
     }
     windowStart = timer.now();
     written = 0;
     suppressed = 0;
   }
 
-  function infoLazy(
+  function writeLazy(
     event: string,
     fields: () => Record<string, LogValue>,
   ): void {
@@ -47,11 +56,11 @@
       return;
     }
     written++;
-    logger.info(event, fields());
+    logger[level](event, fields());
   }
 
   return {
-    info: (event, fields) => infoLazy(event, () => fields),
-    infoLazy,
+    write: (event, fields) => writeLazy(event, () => fields),
+    writeLazy,
   };
 }
--- a/src/core/log_limit_test.ts
+++ b/src/core/log_limit_test.ts
@@ -12,11 +12,11 @@
     perSecond: 3,
   });
   for (let count = 0; count < 10; count++) {
-    log.info("request.refused", { request: count });
+    log.write("request.refused", { request: count });
   }
   t.equal(lines.length, 3);
   await timer.advance(1_000);
-  log.info("request.refused", { request: 10 });
+  log.write("request.refused", { request: 10 });
   t.equal(lines.length, 5);
   t.match(lines[3], /event=log.left_out lines=7/);
   t.match(lines[4], /event=request.refused request=10/);
--- a/src/core/request_log.ts
+++ b/src/core/request_log.ts
@@ -67,16 +67,16 @@
   });
   return {
     logFailure: (event, request, fields) =>
-      log.info(event, { request, ...fields }),
+      log.write(event, { request, ...fields }),
     logFrequentFailure(event, request, fields) {
       const limitedLog = isSelected(request, SELECTED_PERIOD)
         ? selected
         : unselected;
-      limitedLog.infoLazy(event, () => ({ request, ...fields() }));
+      limitedLog.writeLazy(event, () => ({ request, ...fields() }));
     },
     logSample(event, request, fields) {
       if (isSampled(request)) {
-        log.info(event, { request, ...fields() });
+        log.write(event, { request, ...fields() });
       }
     },
   };
--- a/src/http/caller_server.ts
+++ b/src/http/caller_server.ts
@@ -82,6 +82,7 @@
     timer,
     logger,
     perSecond: MAX_FAILED_LOG_LINES_PER_S,
+    level: "warn",
   });
   let stopping = false;
 
@@ -253,7 +254,7 @@
 
   function noteMalformed(code: string, socket: Socket): void {
     node.metrics.count("malformed_requests");
-    malformedLog.info("caller.malformed_request", {
+    malformedLog.write("caller.malformed_request", {
       peer: `${socket.remoteAddress}:${socket.remotePort}`,
       code,
     });
@@ -265,7 +266,7 @@
       return;
     }
     handle(request, response).catch((error) => {
-      failedLog.info("caller.request_failed", errorFields(error));
+      failedLog.write("caller.request_failed", errorFields(error));
       abortResponse(response);
     });
   }, {
--- a/src/metrics/busy_periods.ts
+++ b/src/metrics/busy_periods.ts
@@ -73,7 +73,7 @@
     }
     const periodMs = timer.now() - busySince;
     if (periodMs >= LOGGED_PERIOD_MS) {
-      log.infoLazy("process.busy", () => ({
+      log.writeLazy("process.busy", () => ({
         ms: Math.round(periodMs),
         turns: totals.turns - first.turns,
         events: totals.events - first.events,
--- a/src/metrics/event_loop.ts
+++ b/src/metrics/event_loop.ts
@@ -34,7 +34,7 @@
   });
   lag.onTick((delayMs) => {
     if (delayMs >= LOGGED_DELAY_MS) {
-      log.info("process.delayed", { ms: Math.round(delayMs) });
+      log.write("process.delayed", { ms: Math.round(delayMs) });
     }
   });
 }
--- a/src/node/silence_log.ts
+++ b/src/node/silence_log.ts
@@ -27,7 +27,7 @@
 
   return ({ finding, peer, requestId, silentMs, lateMs }) => {
     metrics.countBy("guard_silences", { name: "finding", value: finding });
-    log.info("exchange.silent", {
+    log.write("exchange.silent", {
       request: requestId,
       peer,
       finding,
--- a/src/quota/quota.ts
+++ b/src/quota/quota.ts
@@ -89,7 +89,7 @@
     exchange: options.exchange ?? createPoolExchange(options.pool, timer),
     onSilent(peer) {
       metrics.count("quota_silences");
-      log.info("quota.peer_silent", { peer });
+      log.write("quota.peer_silent", { peer });
     },
   });
   let ownerServices: readonly string[] = [];
@@ -143,7 +143,7 @@
       ]);
     } catch (error) {
       // The request goes on with the members that are known, as after the timeout.
-      log.info("quota.subscribe_failed", errorFields(error));
+      log.write("quota.subscribe_failed", errorFields(error));
     } finally {
       preparing = undefined;
     }
@@ -229,7 +229,7 @@
     onDecision(decision, { workspace, by }) {
       if (decision.kind === "refused") {
         metrics.countBy("quota_refused", { name: "by", value: by });
-        log.infoLazy("quota.refused", () => ({
+        log.writeLazy("quota.refused", () => ({
           workspace,
           cause: decision.cause,
           by,
