--- a/src/http/connection_limit.ts
+++ b/src/http/connection_limit.ts
@@ -5,6 +5,7 @@
  * Other clients must still find a place.
  * @module
  */
+import { performance } from "node:perf_hooks";
 import type { Server } from "node:http";
 import { type Connection, connectionsOfServer } from "./connections.ts";
 
@@ -83,6 +84,27 @@
   return found;
 }
 
+/**
+ * Makes room for one more connection, if there is none, by closing one of the others.
+ * Returns whether there is room now.
+ */
+export function makeRoom(
+  connections: readonly ReplaceableConnection[],
+  { maxConnections, hasRequest }: {
+    maxConnections: number;
+    hasRequest: boolean;
+  },
+): boolean {
+  const admitted = connections.filter(({ connection }) => !connection.surplus);
+  if (admitted.length < maxConnections) {
+    return true;
+  }
+  const now = performance.now();
+  const replaceable = findReplaceable(admitted, { now, hasRequest });
+  replaceable?.connection.socket.destroy();
+  return replaceable !== undefined;
+}
+
 /**
  * Marks a connection for which there is no room: its first request is refused, so
  * that its client learns when to come back.
--- a/src/http/connection_limit_test.ts
+++ b/src/http/connection_limit_test.ts
@@ -1,6 +1,7 @@
 import { test } from "tap";
 import {
   findReplaceable,
+  makeRoom,
   type ReplaceableConnection,
 } from "./connection_limit.ts";
 import type { Connection } from "./connections.ts";
@@ -74,3 +75,29 @@
   );
   t.end();
 });
+
+test("connections that wait to be refused take no places", (t) => {
+  let closed = 0;
+  const sketch = (surplus: boolean, idle: boolean) => ({
+    connection: {
+      idle,
+      surplus,
+      socket: { destroy: () => void closed++ },
+    } as unknown as Connection,
+    activeAt: 0,
+    heldBytes: 0,
+    sendsAhead: false,
+    isSlowSender: false,
+    isStuck: false,
+  });
+  const options = { maxConnections: 2, hasRequest: true };
+  const surplus = [sketch(true, true), sketch(true, true), sketch(true, true)];
+  t.equal(makeRoom([...surplus, sketch(false, false)], options), true);
+  t.equal(closed, 0, "there is a place");
+  const busy = [sketch(false, false), sketch(false, false)];
+  t.equal(makeRoom([...surplus, ...busy], options), false);
+  const waiting = [sketch(false, false), sketch(false, true)];
+  t.equal(makeRoom([...surplus, ...waiting], options), true);
+  t.equal(closed, 1, "one of those that have places gives way");
+  t.end();
+});
--- a/src/http/request_intake.ts
+++ b/src/http/request_intake.ts
@@ -12,7 +12,7 @@
 import type { BudgetedConnection, ClientBudget } from "./client_budget.ts";
 import {
   admitSurplus,
-  findReplaceable,
+  makeRoom,
   type ReplaceableConnection,
 } from "./connection_limit.ts";
 import { type Connection, connectionOfSocket } from "./connections.ts";
@@ -276,21 +276,9 @@
 ): IntakeLimits {
   const intakes = new Map<Socket, Intake>();
 
-  /** Makes room for one more connection, if there is none; returns whether it could. */
-  function makeRoom(hasRequest: boolean): boolean {
-    if (intakes.size < maxConnections) {
-      return true;
-    }
-    const others = [...intakes.values()].filter(({ connection }) =>
-      !connection.surplus
-    );
-    if (others.length < maxConnections) {
-      return true;
-    }
-    const now = performance.now();
-    const replaceable = findReplaceable(others, { now, hasRequest });
-    replaceable?.connection.socket.destroy();
-    return replaceable !== undefined;
+  function findRoom(hasRequest: boolean): boolean {
+    return intakes.size < maxConnections ||
+      makeRoom([...intakes.values()], { maxConnections, hasRequest });
   }
 
   server.on("connection", (socket: Socket) => {
@@ -299,7 +287,7 @@
     if (!connection || !parse) {
       return;
     }
-    if (!makeRoom(false)) {
+    if (!findRoom(false)) {
       admitSurplus(server, connection);
     }
     // The parser no longer reads from the connection itself.
@@ -315,9 +303,8 @@
 
   return {
     admit(connection) {
-      const hasRoom = makeRoom(true);
-      connection.setSurplus(!hasRoom);
-      return hasRoom;
+      connection.setSurplus(!findRoom(true));
+      return !connection.surplus;
     },
   };
 }
